Lay down the folders, the core types and a thin end-to-end path

Cause: there is no code yet. Change: design page, closed list of error kinds, resources, replicated state, endpoint directory and dispatcher as pure packages; control replica, entry host, resource API and stand-in endpoints round them; linter rules and a source check that keep the core free of input, output and concurrency. After, a request through dock-dev is answered with 200 and Laburnum-Ran: yes, and a pool is stored and listed; the linter rejects a core file that imports net and calls time.Now.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets of the project. `make help` lists them.
+DEPLOYMENT ?= slidecraft
+LINT := go tool -modfile=tools/lint/go.mod golangci-lint
+BIN := bin
+
+.PHONY: help build run test fmt fmt-check lint unit generate
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+build: ## build the binaries into bin/
+	go build -o $(BIN)/ ./cmd/...
+
+run: build ## run the whole system with stand-ins on loopback (DEPLOYMENT=slidecraft or memoria-vie)
+	$(BIN)/dock-dev
+
+test: fmt-check lint unit ## formatter check, linter and all tests
+
+fmt: ## format the code
+	$(LINT) fmt
+
+fmt-check:
+	$(LINT) fmt --diff
+
+lint:
+	$(LINT) run ./...
+
+unit:
+	go test -race -count=1 -timeout=12m ./...
+
+generate: ## generate code from proto/
+	go build -modfile=tools/buf/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf
+	go build -modfile=tools/gen/go.mod -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	cd proto && PATH=$(CURDIR)/$(BIN)/tools:$$PATH buf lint && PATH=$(CURDIR)/$(BIN)/tools:$$PATH buf generate
