Fix the events and effects between dispatcher and entry host

Cause: the pure dispatcher and the shell round it are built side by side and need one contract. Conclusion: the contract is the boundary between the two parts.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -80,7 +80,7 @@
 	case AttemptNotSent, AttemptRefused:
 		answer.Ran = fault.RanNo
 		answer.Err = fault.New(fault.EndpointFailed, "endpoint %s: %s", r.endpoint, e.Detail)
-	case AttemptLost:
+	case AttemptLost, AttemptSilent:
 		answer.Ran = fault.RanUnknown
 		answer.Err = fault.New(fault.OutcomeUnknown, "endpoint %s: %s", r.endpoint, e.Detail)
 	}
--- a/internal/core/dispatch/event.go
+++ b/internal/core/dispatch/event.go
@@ -29,6 +29,18 @@
 	Deadline  time.Time
 }
 
+// RecordPhase is what a record in the control replicas says of a request that
+// must not be repeated.
+type RecordPhase uint8
+
+// The phases of a record.
+const (
+	RecordBegin RecordPhase = iota + 1
+	RecordFinished
+	RecordDidNotRun
+	RecordUnknown
+)
+
 // Arrive is a new request.
 type Arrive struct{ Request Request }
 
@@ -45,6 +57,9 @@
 	AttemptRefused
 	// AttemptLost failed after the first byte may have left.
 	AttemptLost
+	// AttemptSilent is AttemptLost on a connection that went silent, which is
+	// not held against the endpoint.
+	AttemptSilent
 )
 
 // Finished is the end of an attempt.
@@ -53,6 +68,18 @@
 	Attempt int
 	Outcome AttemptOutcome
 	Detail  string
+	// RunTime is how long the endpoint had the request.
+	RunTime time.Duration
+}
+
+// Recorded is the answer of the control replicas to a Record. Err is nil if
+// the record was taken. For a begin that was refused because the request is
+// known, Known is the phase that is recorded.
+type Recorded struct {
+	ID    uint64
+	Phase RecordPhase
+	Err   *fault.Error
+	Known RecordPhase
 }
 
 // Gone means that the caller no longer waits.
@@ -61,14 +88,57 @@
 // Announced is an announcement, heard directly or from a peer.
 type Announced struct{ Announcement member.Announcement }
 
+// EpochChanged is a new epoch of a host by the control replicas.
+type EpochChanged struct {
+	Host  string
+	Epoch uint64
+}
+
+// ServiceLimits is what the control replicas declare of the pool of a service.
+// Ejection never leaves fewer than MinHealthy endpoints.
+type ServiceLimits struct {
+	Service    string
+	MinHealthy int
+}
+
+// EndpointUse is the number of slots that a peer uses on an endpoint.
+type EndpointUse struct {
+	Endpoint string
+	InUse    int
+	Queued   int
+}
+
+// PeerUse is what another entry host uses. It replaces what that peer said
+// before, and runs out if the peer falls silent.
+type PeerUse struct {
+	Peer        string
+	Incarnation uint64
+	Use         []EndpointUse
+}
+
+// Probed is the outcome of a Probe.
+type Probed struct {
+	Endpoint string
+	OK       bool
+}
+
+// StopRequested starts the graceful shutdown: new requests are refused.
+type StopRequested struct{}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
-func (Arrive) event()    {}
-func (Finished) event()  {}
-func (Gone) event()      {}
-func (Announced) event() {}
-func (Ticked) event()    {}
+func (Arrive) event()        {}
+func (Finished) event()      {}
+func (Recorded) event()      {}
+func (Gone) event()          {}
+func (Announced) event()     {}
+func (EpochChanged) event()  {}
+func (ServiceLimits) event() {}
+func (PeerUse) event()       {}
+func (Probed) event()        {}
+func (StopRequested) event() {}
+func (Ticked) event()        {}
 
 // Effect is something to do. The set is closed.
 type Effect interface{ effect() }
@@ -83,14 +153,39 @@
 	Deadline time.Time
 }
 
-// Answer ends a request. If Err is nil, the caller gets the answer of the
-// attempt.
-type Answer struct {
+// Abort ends an attempt whose answer is no longer wanted. The attempt still
+// ends with a Finished.
+type Abort struct {
+	ID      uint64
+	Attempt int
+}
+
+// Record has the control replicas record a phase of a request. The shell adds
+// the digest and, for RecordFinished, the answer of the attempt.
+type Record struct {
 	ID      uint64
 	Attempt int
-	Err     *fault.Error
-	Ran     fault.Ran
+	Phase   RecordPhase
+}
+
+// Answer ends a request. If Err is nil, the caller gets the answer of the
+// attempt, or with FromRecord the answer that came with a Recorded.
+type Answer struct {
+	ID         uint64
+	Attempt    int
+	FromRecord bool
+	Err        *fault.Error
+	Ran        fault.Ran
+}
+
+// Probe asks an ejected endpoint whether it works again.
+type Probe struct {
+	Endpoint string
+	Address  string
 }
 
 func (Forward) effect() {}
+func (Abort) effect()   {}
+func (Record) effect()  {}
 func (Answer) effect()  {}
+func (Probe) effect()   {}
