--- a/internal/core/model/meta.go
+++ b/internal/core/model/meta.go
@@ -21,7 +21,7 @@
 // Kinds lists all kinds in the order in which a manifest is applied: a
 // resource comes after those it refers to.
 func Kinds() []Kind {
-	return []Kind{KindTeam, KindConfig, KindPool, KindBudget, KindHost, KindJob, KindWave}
+	return []Kind{KindTeam, KindConfig, KindPool, KindHost, KindBudget, KindJob, KindWave}
 }
 
 // Meta is the part that all resources have in common.
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,179 @@
+// Package process has what all processes share: the command line, settings,
+// listeners and the pages for operations.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/metric"
+	"laburnumdock/internal/settings"
+)
+
+// shutdownGrace bounds how long a listener waits for its connections after
+// its process has finished its own graceful shutdown.
+const shutdownGrace = 10 * time.Second
+
+// Main runs a process with the command line that all processes share. declare
+// returns the function that runs the process with the settings it declared.
+func Main(name, usage string, declare func(*settings.Set) func(context.Context) error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := Command(name, usage, declare).Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// Command returns the command line of a process.
+func Command(name, usage string, declare func(*settings.Set) func(context.Context) error) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, Version: Version(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "INI file with the settings"},
+			&cli.StringSliceFlag{Name: "set", Usage: "override one setting, as section.key=value"},
+			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "print-keys", Usage: "list all settings with defaults, ranges and units, and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var set settings.Set
+			run := declare(&set)
+			if c.Bool("print-keys") {
+				return printKeys(c, &set)
+			}
+			problems := set.Load(settings.Source{Path: c.String("config"), Environ: os.LookupEnv, Overrides: c.StringSlice("set")})
+			for _, p := range problems {
+				fmt.Fprintln(os.Stderr, p)
+			}
+			if len(problems) > 0 {
+				return eris.Errorf("%d settings are wrong", len(problems))
+			}
+			if c.Bool("check-config") {
+				_, err := fmt.Fprintln(c.Root().Writer, "settings are correct")
+				return err
+			}
+			return run(ctx)
+		},
+	}
+}
+
+func printKeys(c *cli.Command, set *settings.Set) error {
+	for _, k := range set.Keys() {
+		def := k.Default
+		if k.Required {
+			def = "required"
+		}
+		_, err := fmt.Fprintf(c.Root().Writer, "[%s] %s = %s\n    %s; allowed: %s; variable: %s\n",
+			k.Section, k.Name, def, k.Help, k.Allowed, settings.EnvName(k.Section, k.Name))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Version returns the version of the binary.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "development"
+	}
+	return info.Main.Version
+}
+
+// Logger returns the logger of a process, on standard error.
+func Logger(p settings.Process, role string) (*logevent.Logger, error) {
+	return logevent.New(os.Stderr, *p.LogLevel, role, *p.Name)
+}
+
+// Ops adds the pages for operations to mux. ready returns why the process is
+// not ready, or nil.
+func Ops(mux *http.ServeMux, reg metrics.Registry, ready func() error) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		answer.WriteJSON(w, http.StatusOK, map[string]bool{"healthy": true})
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			answer.WriteError(w, err)
+			return
+		}
+		answer.WriteJSON(w, http.StatusOK, map[string]bool{"ready": true})
+	})
+	mux.HandleFunc("GET /version", func(w http.ResponseWriter, _ *http.Request) {
+		answer.WriteJSON(w, http.StatusOK, map[string]string{"version": Version()})
+	})
+	mux.Handle("GET /metrics", metric.Handler(reg))
+}
+
+// Server is one listener with its handler.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// Listen opens a listener, with TLS if a certificate is set.
+func Listen(l settings.Listener, handler http.Handler) (*Server, error) {
+	tlsConfig, err := serverTLS(l)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", *l.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", *l.Address)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	server := &http.Server{Handler: handler, Protocols: protocols, TLSConfig: tlsConfig, ReadHeaderTimeout: 10 * time.Second}
+	return &Server{listener: listener, server: server}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Run serves until ctx ends, then lets requests in flight finish.
+func (s *Server) Run(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.serve() }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownGrace)
+	defer cancel()
+	if err := s.server.Shutdown(stop); err != nil {
+		// What is left are streams such as watches, whose clients resume.
+		return s.server.Close()
+	}
+	return nil
+}
+
+func (s *Server) serve() error {
+	var err error
+	if s.server.TLSConfig != nil {
+		err = s.server.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.server.Serve(s.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/settings/roles.go
@@ -0,0 +1,161 @@
+package settings
+
+import "time"
+
+// Process is what every process declares.
+type Process struct {
+	Name     *string
+	Zone     *string
+	LogLevel *string
+}
+
+func processKeys(s *Set) Process {
+	return Process{
+		Name:     s.String("process", "name", "", true, "name of the process, unique in the deployment"),
+		Zone:     s.String("process", "zone", "", true, "availability zone of the process"),
+		LogLevel: s.Choice("process", "log-level", "info", []string{"debug", "info", "warning", "error"}, "least level that is logged"),
+	}
+}
+
+// Listener is one address to listen on, with TLS if a certificate is set.
+type Listener struct {
+	Address      *string
+	CertFile     *string
+	KeyFile      *string
+	ClientCAFile *string
+}
+
+func listenerKeys(s *Set, section, help string) Listener {
+	return Listener{
+		Address:      s.String(section, "listen", "", true, "IP address and port for "+help),
+		CertFile:     s.String(section, "cert-file", "", false, "PEM certificate; empty means no TLS"),
+		KeyFile:      s.String(section, "key-file", "", false, "PEM key of the certificate"),
+		ClientCAFile: s.String(section, "client-ca-file", "", false, "PEM certificates that clients must be signed by; empty means that clients need none"),
+	}
+}
+
+// ClientTLS is how a process connects to other processes of the system.
+type ClientTLS struct {
+	CAFile   *string
+	CertFile *string
+	KeyFile  *string
+}
+
+func clientTLSKeys(s *Set) ClientTLS {
+	return ClientTLS{
+		CAFile:   s.String("client-tls", "ca-file", "", false, "PEM certificates of the other processes; empty means no TLS"),
+		CertFile: s.String("client-tls", "cert-file", "", false, "PEM certificate of this process as a client"),
+		KeyFile:  s.String("client-tls", "key-file", "", false, "PEM key of the client certificate"),
+	}
+}
+
+// Control is the settings of a control replica.
+type Control struct {
+	Process
+	API    Listener
+	Peer   Listener
+	Client ClientTLS
+
+	ClusterID         *string
+	ID                *int
+	DataDir           *string
+	Voters            *[]string
+	Join              *bool
+	HeartbeatInterval *time.Duration
+	ElectionTimeout   *time.Duration
+	SnapshotEntries   *int
+	QueueLength       *int
+	MaxBodyBytes      *int
+	TokenFile         *string
+	PlatformURL       *string
+	PlanInterval      *time.Duration
+}
+
+// NewControl declares the keys of a control replica.
+func NewControl(s *Set) *Control {
+	return &Control{
+		Process: processKeys(s),
+		API:     listenerKeys(s, "api", "operators"),
+		Peer:    listenerKeys(s, "peer", "other processes of the system"),
+		Client:  clientTLSKeys(s),
+
+		ClusterID:         s.String("control", "cluster-id", "", true, "identity of the cluster; files of another cluster are refused"),
+		ID:                s.Int("control", "id", 0, 1, 1_000_000, "(replica number)", "number of the replica; never used again after its disk was lost"),
+		DataDir:           s.String("control", "data-dir", "", true, "folder for the log and snapshots"),
+		Voters:            s.List("control", "voters", "", true, "first voters, as id=address of the peer listener"),
+		Join:              s.Bool("control", "join", false, "join a running cluster as a learner instead of starting a new one"),
+		HeartbeatInterval: s.Duration("control", "heartbeat-interval", 100*time.Millisecond, 10*time.Millisecond, 5*time.Second, "time between two heartbeats of the leader"),
+		ElectionTimeout:   s.Duration("control", "election-timeout", time.Second, 50*time.Millisecond, 30*time.Second, "silence of the leader after which an election starts"),
+		SnapshotEntries:   s.Int("control", "snapshot-entries", 10_000, 100, 1_000_000, "entries", "entries after which the log is replaced by a snapshot"),
+		QueueLength:       s.Int("limits", "queue-length", 1024, 16, 65_536, "events", "events that may wait for the control loop"),
+		MaxBodyBytes:      s.Int("limits", "max-body-bytes", 1<<20, 1<<10, 64<<20, "bytes", "largest body of a request"),
+		TokenFile:         s.String("access", "token-file", "", false, "INI file with tokens and roles; empty allows everything, on loopback only"),
+		PlatformURL:       s.String("platform", "url", "", false, "base URL of the platform; empty turns fleet control off"),
+		PlanInterval:      s.Duration("platform", "plan-interval", time.Second, 50*time.Millisecond, time.Minute, "time between two reports of the platform"),
+	}
+}
+
+// Entry is the settings of an entry host.
+type Entry struct {
+	Process
+	Callers Listener
+	Peer    Listener
+	Client  ClientTLS
+
+	Peers           *[]string
+	Control         *[]string
+	DefaultDeadline *time.Duration
+	MaxDeadline     *time.Duration
+	BalancerDelay   *time.Duration
+	ShutdownLimit   *time.Duration
+	QueueLength     *int
+	MaxBodyBytes    *int
+}
+
+// NewEntry declares the keys of an entry host.
+func NewEntry(s *Set) *Entry {
+	return &Entry{
+		Process: processKeys(s),
+		Callers: listenerKeys(s, "callers", "callers and endpoints"),
+		Peer:    listenerKeys(s, "peer", "other entry hosts"),
+		Client:  clientTLSKeys(s),
+
+		Peers:           s.List("entry", "peers", "", false, "addresses of the peer listeners of the other entry hosts"),
+		Control:         s.List("entry", "control", "", true, "addresses of the peer listeners of the control replicas"),
+		DefaultDeadline: s.Duration("entry", "default-deadline", 10*time.Second, 10*time.Millisecond, 10*time.Minute, "deadline of a request that names none"),
+		MaxDeadline:     s.Duration("entry", "max-deadline", 10*time.Minute, time.Second, 10*time.Minute, "longest deadline that a request may name"),
+		BalancerDelay:   s.Duration("entry", "balancer-delay", 3*time.Second, 0, time.Minute, "time from failing readiness until the balancer sends no more requests"),
+		ShutdownLimit:   s.Duration("entry", "shutdown-limit", 10*time.Minute, time.Second, time.Hour, "longest graceful shutdown"),
+		QueueLength:     s.Int("limits", "queue-length", 4096, 64, 262_144, "events", "events that may wait for the control loop"),
+		MaxBodyBytes:    s.Int("limits", "max-body-bytes", 1<<20, 1<<10, 64<<20, "bytes", "largest body of a request or an answer"),
+	}
+}
+
+// Standin is the settings of the stand-in platform and endpoints.
+type Standin struct {
+	Process
+	Platform Listener
+
+	Manifest   *string
+	EntryHosts *[]string
+	Slots      *int
+	RebootTime *time.Duration
+	ReportLag  *time.Duration
+	ShortRun   *time.Duration
+	LongRun    *time.Duration
+}
+
+// NewStandin declares the keys of the stand-in.
+func NewStandin(s *Set) *Standin {
+	return &Standin{
+		Process:    processKeys(s),
+		Platform:   listenerKeys(s, "platform", "the platform API"),
+		Manifest:   s.String("standin", "manifest", "", true, "YAML file with the hosts and pools to stand in for"),
+		EntryHosts: s.List("standin", "entry-hosts", "", true, "addresses of the entry hosts to announce to"),
+		Slots:      s.Int("standin", "slots", 8, 1, 1024, "slots", "requests that an executor runs at once"),
+		RebootTime: s.Duration("standin", "reboot-time", 2*time.Second, 0, time.Hour, "time that a reboot takes"),
+		ReportLag:  s.Duration("standin", "report-lag", time.Second, 0, time.Minute, "age of the use that the platform reports"),
+		ShortRun:   s.Duration("standin", "short-run", 4*time.Millisecond, 0, time.Minute, "run time of short work"),
+		LongRun:    s.Duration("standin", "long-run", 200*time.Millisecond, 0, time.Minute, "run time of long work"),
+	}
+}
