Complete the replicated state but for host, wave and task steps

Change: - Change IDs keep version, error and a digest of the client's request. An ID that comes back with another request is refused with change_id_reused; an issue time far ahead is refused, because it would move the horizon into the future for everybody. - RecordRequests keeps an outcome ledger with owner tokens, expiry by replicated time and bounds on records and bytes. - Puts and deletes check references, budgets and what is under way. Budgets come after hosts in the order of kinds, because a budget above its pool's host count is refused. - A host report that changes neither health nor boot keeps the version, so a step with an expected version can win against hosts that report all the time. - The event window drops whole commands. The audit trail leaves out repeated refusals of the system's own steps. - Dump, Restore and their stored form; Evaluate for dry runs. - Waves have spec.cancelled and the phase cancelled.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -58,9 +58,21 @@
 	if err := decMode.Unmarshal(env.Body, obj); err != nil {
 		return nil, eris.Wrapf(err, "decode %s", env.Type)
 	}
+	if err := checkKind(obj, model.Kind(env.Type)); err != nil {
+		return nil, err
+	}
 	return obj, nil
 }
 
+// checkKind refuses a resource whose metadata contradict its type, which the
+// state machine relies on.
+func checkKind(obj model.Object, kind model.Kind) error {
+	if head := obj.Head(); head.Kind != kind {
+		return eris.Errorf("resource of kind %q says that it is of kind %q", kind, head.Kind)
+	}
+	return nil
+}
+
 func seal(name string, v any) ([]byte, error) {
 	body, err := encMode.Marshal(v)
 	if err != nil {
--- /dev/null
+++ b/internal/codec/codec_test.go
@@ -0,0 +1,123 @@
+package codec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+var at = time.Date(2026, 3, 1, 18, 0, 0, 5, time.UTC)
+
+func commands() []state.Command {
+	o := state.Origin{Actor: "ana", Source: "10.0.0.1:1", Time: at, ChangeID: "c", IssuedAt: at, Digest: 7}
+	host := &model.Host{Meta: model.Meta{Kind: model.KindHost, Name: "h", Version: 3, Created: at, Modified: at}}
+	host.Status.Stop = &model.PlannedStop{Action: model.StopMove, TargetPool: "p", Since: at}
+	return []state.Command{
+		state.Put{Origin: o, Object: host, Expected: state.AnyVersion},
+		state.Delete{Origin: o, Key: host.Key(), Expected: 3},
+		state.HostReport{Origin: o, Hosts: []state.HostObservation{{Host: "h", Health: model.HealthHealthy, InFlight: 2, BootID: "b", Observed: at}}},
+		state.HostStep{Origin: o, Host: "h", Expected: 3, To: model.HostDraining, Stop: host.Status.Stop, Reason: model.ReasonBudget},
+		state.WaveStep{Origin: o, Wave: "w", Status: model.WaveStatus{Phase: model.WaveRunning, Done: []string{"h"}}},
+		state.TaskStep{Origin: o, Job: "j", Tasks: []model.Task{{Index: 1, State: model.TaskRunning, LeaseUntil: at}}},
+		state.StatusStep{Origin: o, Objects: []model.Object{host}},
+		state.RecordRequests{Origin: o, Records: []state.RequestRecord{{ID: "r", Phase: state.RequestBegun, Token: "t", Digest: []byte{1}, Body: []byte{}, Expires: at}}},
+		state.Tick{Origin: o},
+	}
+}
+
+// Guards against a command that another replica reads differently.
+func TestCommandsSurviveTheStoredForm(t *testing.T) {
+	for _, cmd := range commands() {
+		data, err := EncodeCommand(cmd)
+		require.NoError(t, err)
+		again, err := DecodeCommand(data)
+		require.NoError(t, err)
+		require.Equal(t, cmd, again)
+	}
+}
+
+// Guards against an answer that changes on its way from the leader.
+func TestResultsSurviveTheStoredForm(t *testing.T) {
+	host := &model.Host{Meta: model.Meta{Kind: model.KindHost, Name: "h", Created: at, Modified: at}}
+	for _, r := range []state.Result{
+		{Version: 4, Key: host.Key(), Object: host, Replayed: true},
+		{Version: 5, Key: host.Key(), Err: &fault.Error{Kind: fault.Conflict, Field: "f", Limit: "l", Message: "m", Current: 3}},
+		{Version: 6, Requests: []state.RequestResult{{ID: "r", Err: fault.New(fault.InProgress, "x"), Recorded: &state.RequestRecord{ID: "r", Phase: state.RequestBegun, Expires: at}}}},
+	} {
+		data, err := EncodeResult(r)
+		require.NoError(t, err)
+		again, err := DecodeResult(data)
+		require.NoError(t, err)
+		require.Equal(t, r, again)
+	}
+}
+
+// Guards against stored bytes that say two things about one resource: the state
+// machine would treat a pool as a host.
+func TestDecodeRefusesContradictingKinds(t *testing.T) {
+	pool := model.New(model.KindPool)
+	pool.Head().Kind = model.KindTeam
+	data, err := seal(string(model.KindPool), pool)
+	require.NoError(t, err)
+	_, err = DecodeObject(data)
+	require.ErrorContains(t, err, "says that it is")
+	data, err = seal("Purge", pool)
+	require.NoError(t, err)
+	_, err = DecodeCommand(data)
+	require.ErrorContains(t, err, "not known")
+}
+
+// Guards against a snapshot of another format that is read as an empty one.
+func TestDecodeDumpRefusesOtherFormats(t *testing.T) {
+	data, err := encMode.Marshal(storedDump{Format: dumpFormat + 1})
+	require.NoError(t, err)
+	_, err = DecodeDump(data)
+	require.ErrorContains(t, err, "format")
+}
+
+// Guards against bytes that crash a replica. What decodes must encode again.
+func FuzzDecodeCommand(f *testing.F) {
+	for _, cmd := range commands() {
+		data, err := EncodeCommand(cmd)
+		require.NoError(f, err)
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cmd, err := DecodeCommand(data)
+		if err != nil {
+			return
+		}
+		s := state.New()
+		s.Apply(1, cmd)
+		_, err = EncodeDump(s.Dump())
+		require.NoError(t, err)
+	})
+}
+
+// Guards against a damaged snapshot that crashes a replica.
+func FuzzDecodeDump(f *testing.F) {
+	s := state.New()
+	for i, cmd := range commands() {
+		s.Apply(uint64(i+1), cmd)
+	}
+	data, err := EncodeDump(s.Dump())
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)-3])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := DecodeDump(data)
+		if err != nil {
+			return
+		}
+		again, err := EncodeDump(state.Restore(d).Dump())
+		require.NoError(t, err)
+		_, err = DecodeDump(again)
+		require.NoError(t, err)
+	})
+}
--- a/internal/core/model/copy.go
+++ b/internal/core/model/copy.go
@@ -95,7 +95,7 @@
 func (w *Wave) SpecEqual(other Object) bool {
 	o := other.(*Wave).Spec
 	s := w.Spec
-	return slices.Equal(s.Pools, o.Pools) && s.Action == o.Action && s.Started == o.Started && s.Paused == o.Paused &&
+	return slices.Equal(s.Pools, o.Pools) && s.Action == o.Action && s.Started == o.Started && s.Paused == o.Paused && s.Cancelled == o.Cancelled &&
 		s.MaxParallel == o.MaxParallel && s.StragglerLimitSeconds == o.StragglerLimitSeconds &&
 		s.PauseOnFailures == o.PauseOnFailures && s.FailureWindowSeconds == o.FailureWindowSeconds
 }
--- a/internal/core/model/meta.go
+++ b/internal/core/model/meta.go
@@ -19,7 +19,8 @@
 )
 
 // Kinds lists all kinds in the order in which a manifest is applied: a
-// resource comes after those it refers to.
+// resource comes after those it refers to. Budgets come after hosts, because a
+// budget that needs more hosts than its pool has is refused.
 func Kinds() []Kind {
 	return []Kind{KindTeam, KindConfig, KindPool, KindHost, KindBudget, KindJob, KindWave}
 }
--- a/internal/core/model/resources.go
+++ b/internal/core/model/resources.go
@@ -174,6 +174,9 @@
 	// Started is set by the start call; Paused by pause and resume.
 	Started bool `json:"started"`
 	Paused  bool `json:"paused"`
+	// Cancelled ends the wave: hosts in a planned stop return, no other host
+	// is stopped. It cannot be undone.
+	Cancelled bool `json:"cancelled,omitempty"`
 	// MaxParallel bounds the hosts of the wave in a planned stop.
 	MaxParallel int `json:"maxParallel"`
 	// StragglerLimitSeconds is how long a drain waits for work in flight
@@ -190,10 +193,11 @@
 
 // The phases of a wave.
 const (
-	WavePending  WavePhase = "pending"
-	WaveRunning  WavePhase = "running"
-	WavePaused   WavePhase = "paused"
-	WaveFinished WavePhase = "finished"
+	WavePending   WavePhase = "pending"
+	WaveRunning   WavePhase = "running"
+	WavePaused    WavePhase = "paused"
+	WaveFinished  WavePhase = "finished"
+	WaveCancelled WavePhase = "cancelled"
 )
 
 // WaveStatus is the progress of a wave. Done grows and never loses a host.
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -22,6 +22,10 @@
 	// remembered. IssuedAt is when the client made the ID.
 	ChangeID string    `json:"changeID,omitempty"`
 	IssuedAt time.Time `json:"issuedAt,omitzero"`
+	// Digest covers what the client asked for. The shell computes it over the
+	// client's request and not over the command, because a command that is
+	// built again for a newer version is still the same request.
+	Digest uint64 `json:"digest,omitempty"`
 }
 
 // Put creates or replaces the spec of a resource.
@@ -120,12 +124,18 @@
 	Caller    string
 	Service   string
 	EntryHost string
+	// Token is unique to one begin. Only the entry host and the token that
+	// began a request may record its outcome, so that a delayed outcome cannot
+	// free an ID that was begun again.
+	Token string
 	// Digest covers method, path and body. The same ID with another digest is
 	// refused.
 	Digest      []byte
 	Status      int
 	ContentType string
 	Body        []byte
+	// AnswerDropped tells that Body was too large to be kept.
+	AnswerDropped bool
 	// Expires is taken from the ID; the record is dropped after it.
 	Expires time.Time
 }
@@ -153,7 +163,10 @@
 type Result struct {
 	// Version is the version after the command.
 	Version uint64
-	// Object is the resource after the change, if the command was about one.
+	// Key is the resource that the command was about, if it was about one.
+	Key model.Key
+	// Object is the resource after the change. It is nil for a repetition if
+	// the resource has changed since.
 	Object model.Object
 	// Err is nil if the command took effect.
 	Err *fault.Error
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -1,8 +1,11 @@
 package state
 
 import (
+	"sort"
 	"time"
 
+	"github.com/tidwall/btree"
+
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 )
@@ -13,8 +16,10 @@
 	Version uint64
 	Now     time.Time
 	kinds   map[model.Kind]*objects
-	events  []Event
-	audit   []AuditEntry
+	// poolHosts is the number of hosts by pool.
+	poolHosts *btree.Map[string, int]
+	events    []Event
+	audit     []AuditEntry
 	// compacted is the newest version whose events are gone.
 	compacted uint64
 }
@@ -24,7 +29,7 @@
 func (s *State) Snapshot() *Snapshot {
 	snap := &Snapshot{
 		Version: s.version, Now: s.now, events: s.events, audit: s.audit, compacted: s.compacted,
-		kinds: make(map[model.Kind]*objects, len(s.kinds)),
+		kinds: make(map[model.Kind]*objects, len(s.kinds)), poolHosts: s.poolHosts.Copy(),
 	}
 	for kind, tree := range s.kinds {
 		snap.kinds[kind] = tree.Copy()
@@ -64,17 +69,38 @@
 		err.Current = s.compacted
 		return nil, err
 	}
-	low, high := 0, len(s.events)
-	for low < high {
-		mid := (low + high) / 2
-		if s.events[mid].Version <= version {
-			low = mid + 1
-		} else {
-			high = mid
-		}
-	}
-	return s.events[low:], nil
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Version > version })
+	return s.events[first:], nil
 }
 
+// Oldest returns the oldest version from which a watch can start.
+func (s *Snapshot) Oldest() uint64 { return s.compacted }
+
 // Audit returns the retained audit trail, oldest first.
 func (s *Snapshot) Audit() []AuditEntry { return s.audit }
+
+// HostsIn returns the number of hosts of a pool.
+func (s *Snapshot) HostsIn(pool string) int {
+	count, _ := s.poolHosts.Get(pool)
+	return count
+}
+
+// Evaluate returns the result that cmd would have as the next command. It
+// changes nothing, and any goroutine may call it.
+func (s *Snapshot) Evaluate(cmd Command) Result {
+	scratch := New()
+	scratch.version = s.Version
+	scratch.now = s.Now
+	for kind, tree := range s.kinds {
+		scratch.kinds[kind] = forkTree(tree)
+	}
+	scratch.poolHosts = forkTree(s.poolHosts)
+	return scratch.Apply(s.Version+1, cmd)
+}
+
+// forkTree returns a copy of a tree that other goroutines read meanwhile. Copy
+// writes to the tree that it is called on, so it is called on a local value.
+func forkTree[V any](tree *btree.Map[string, V]) *btree.Map[string, V] {
+	local := *tree
+	return local.Copy()
+}
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"sort"
 	"time"
 
 	"github.com/tidwall/btree"
@@ -20,21 +21,28 @@
 
 // State is the replicated state. The control loop of a replica owns it;
 // nobody else touches it. Invariants: version equals the index of the last
-// applied entry; now never goes back; a stored object is never modified.
+// applied entry; now never goes back; a stored object is never modified;
+// poolHosts holds the number of hosts of each pool that has hosts.
 type State struct {
 	version uint64
 	now     time.Time
 	kinds   map[model.Kind]*objects
-	events  []Event
+	// poolHosts is derived from the hosts.
+	poolHosts *btree.Map[string, int]
+	events    []Event
 	// compacted is the version of the newest event that was dropped.
 	compacted uint64
 	changes   changeTable
 	audit     []AuditEntry
+	requests  requestTable
 }
 
 // New returns an empty state.
 func New() *State {
-	s := &State{kinds: make(map[model.Kind]*objects), changes: newChangeTable()}
+	s := &State{
+		kinds: make(map[model.Kind]*objects), poolHosts: &btree.Map[string, int]{},
+		changes: newChangeTable(), requests: newRequestTable(),
+	}
 	for _, kind := range model.Kinds() {
 		s.kinds[kind] = &objects{}
 	}
@@ -57,37 +65,53 @@
 	return obj
 }
 
-// Apply carries out the command of the log entry at index.
+// Apply carries out the command of the log entry at index. An index that was
+// applied before is refused and changes nothing.
 func (s *State) Apply(index uint64, cmd Command) Result {
+	if index <= s.version {
+		return Result{Version: s.version, Err: fault.New(fault.Internal, "index %d was applied before, the state is at %d", index, s.version)}
+	}
 	s.version = index
-	var res Result
+	res := s.dispatch(cmd)
+	if res.Version == 0 {
+		res.Version = index
+	}
+	s.trimEvents()
+	return res
+}
+
+func (s *State) dispatch(cmd Command) Result {
 	switch c := cmd.(type) {
 	case Put:
 		s.advance(c.Origin.Time)
-		res = s.idempotent(c.Origin, func() Result { return s.applyPut(c) })
+		key := c.Object.Head().Key()
+		return s.idempotent(c.Origin, key, func() Result { return s.applyPut(c) })
 	case Delete:
 		s.advance(c.Origin.Time)
-		res = s.idempotent(c.Origin, func() Result { return s.applyDelete(c) })
+		return s.idempotent(c.Origin, c.Key, func() Result { return s.applyDelete(c) })
 	case HostReport:
 		s.advance(c.Origin.Time)
 		s.applyHostReport(c)
+		return Result{}
+	case RecordRequests:
+		s.advance(c.Origin.Time)
+		return s.applyRecordRequests(c)
 	case Tick:
 		s.advance(c.Origin.Time)
-	default:
-		res.Err = fault.New(fault.Internal, "command %T is not known", cmd)
-	}
-	if res.Version == 0 {
-		res.Version = index
+		return Result{}
 	}
-	return res
+	return Result{Err: fault.New(fault.Internal, "command %T is not known", cmd)}
 }
 
-// advance moves the replicated time forward. A leader with a clock that jumped
-// back does not take the state back with it.
+// advance moves the replicated time forward and drops what has expired. A
+// leader with a clock that jumped back does not take the state back with it.
 func (s *State) advance(t time.Time) {
-	if t.After(s.now) {
+	// Every replica keeps the same form of the time, whether it decoded the
+	// command or made it.
+	if t = t.Round(0).UTC(); t.After(s.now) {
 		s.now = t
 	}
+	s.requests.expire(s.now)
 }
 
 // store puts obj into the state under the current version.
@@ -95,55 +119,71 @@
 	head := obj.Head()
 	head.Version = s.version
 	head.Modified = s.now
-	s.kinds[head.Kind].Set(head.Name, obj)
+	s.set(obj)
 	s.emit(Event{Version: s.version, Key: head.Key(), Object: obj})
 }
 
+// set puts obj into the state as it is.
+func (s *State) set(obj model.Object) {
+	head := obj.Head()
+	before, _ := s.kinds[head.Kind].Set(head.Name, obj)
+	s.countHost(before, -1)
+	s.countHost(obj, 1)
+}
+
 func (s *State) remove(key model.Key) {
-	s.kinds[key.Kind].Delete(key.Name)
+	before, _ := s.kinds[key.Kind].Delete(key.Name)
+	s.countHost(before, -1)
 	s.emit(Event{Version: s.version, Key: key})
 }
 
-func (s *State) emit(e Event) {
-	s.events = append(s.events, e)
-	if len(s.events) < 2*MaxEvents {
+func (s *State) countHost(obj model.Object, by int) {
+	host, ok := obj.(*model.Host)
+	if !ok {
 		return
 	}
-	drop := len(s.events) - MaxEvents
-	s.compacted = s.events[drop-1].Version
-	s.events = append([]Event(nil), s.events[drop:]...)
+	count, _ := s.poolHosts.Get(host.Spec.Pool)
+	if count += by; count == 0 {
+		s.poolHosts.Delete(host.Spec.Pool)
+		return
+	}
+	s.poolHosts.Set(host.Spec.Pool, count)
 }
 
-func (s *State) record(o Origin, action string, key model.Key, old, version uint64, err *fault.Error) {
-	outcome := "ok"
-	if err != nil {
-		outcome = string(err.Kind)
+func (s *State) emit(e Event) { s.events = append(s.events, e) }
+
+// trimEvents bounds the window. It drops whole commands alone, so that no
+// watch resumes between two events of one command.
+func (s *State) trimEvents() {
+	if len(s.events) < 2*MaxEvents {
+		return
 	}
-	s.audit = append(s.audit, AuditEntry{
-		Version: s.version, Time: s.now, Actor: o.Actor, Source: o.Source, Action: action,
-		Kind: key.Kind, Name: key.Name, OldVersion: old, NewVersion: version,
-		Outcome: outcome, ChangeID: o.ChangeID,
-	})
-	if len(s.audit) >= 2*MaxAudit {
-		s.audit = append([]AuditEntry(nil), s.audit[len(s.audit)-MaxAudit:]...)
+	oldestKept := s.events[len(s.events)-MaxEvents].Version
+	drop := sort.Search(len(s.events), func(i int) bool { return s.events[i].Version >= oldestKept })
+	if drop == 0 {
+		return
 	}
+	s.compacted = s.events[drop-1].Version
+	s.events = append([]Event(nil), s.events[drop:]...)
 }
 
 func (s *State) applyPut(c Put) Result {
-	obj := c.Object.Clone()
-	key := obj.Head().Key()
+	key := c.Object.Head().Key()
+	if s.kinds[key.Kind] == nil {
+		return Result{Key: key, Err: fault.Field("metadata.kind", "a kind of resource", "kind %q is not known", key.Kind)}
+	}
 	stored := s.Get(key)
-	obj, err := s.prepare(obj, stored, c.Expected)
+	obj, err := s.prepare(c.Object.Clone(), stored, c.Expected)
 	if err != nil {
 		s.record(c.Origin, "put", key, versionOf(stored), versionOf(stored), err)
-		return Result{Object: stored, Err: err}
+		return Result{Key: key, Object: stored, Err: err}
 	}
 	if stored != nil && obj.SpecEqual(stored) {
-		return Result{Object: stored, Version: stored.Head().Version}
+		return Result{Key: key, Object: stored, Version: stored.Head().Version}
 	}
 	s.store(obj)
 	s.record(c.Origin, "put", key, versionOf(stored), s.version, nil)
-	return Result{Object: obj}
+	return Result{Key: key, Object: obj}
 }
 
 // prepare returns obj as it is to be stored, or the reason to refuse it.
@@ -152,22 +192,33 @@
 	if err := checkVersion(head.Key(), stored, expected); err != nil {
 		return nil, err
 	}
+	keepStatus(obj, stored)
 	obj.SetDefaults()
 	if err := obj.Validate(); err != nil {
 		return nil, fault.From(err)
 	}
+	if err := checkTransition(obj, stored); err != nil {
+		return nil, err
+	}
 	if err := s.checkReferences(obj, stored); err != nil {
 		return nil, err
 	}
+	head.Created = s.now
+	head.Generation = 1
+	if stored != nil {
+		head.Created = stored.Head().Created
+		head.Generation = stored.Head().Generation + 1
+	}
+	return obj, nil
+}
+
+// keepStatus takes the status from the stored resource. A new resource starts
+// with an empty status, whatever the operator sent.
+func keepStatus(obj, stored model.Object) {
 	if stored == nil {
-		head.Created = s.now
-		head.Generation = 1
-		return obj, nil
+		stored = model.New(obj.Head().Kind)
 	}
-	head.Created = stored.Head().Created
-	head.Generation = stored.Head().Generation + 1
 	obj.KeepStatus(stored)
-	return obj, nil
 }
 
 func versionOf(obj model.Object) uint64 {
@@ -189,23 +240,29 @@
 
 func (s *State) applyDelete(c Delete) Result {
 	stored := s.Get(c.Key)
-	err := s.checkDelete(c, stored)
-	if err != nil {
+	if err := s.checkDelete(c, stored); err != nil {
 		s.record(c.Origin, "delete", c.Key, versionOf(stored), versionOf(stored), err)
-		return Result{Object: stored, Err: err}
+		return Result{Key: c.Key, Object: stored, Err: err}
 	}
 	s.remove(c.Key)
 	s.record(c.Origin, "delete", c.Key, versionOf(stored), s.version, nil)
-	return Result{Object: stored}
+	return Result{Key: c.Key, Object: stored}
 }
 
 func (s *State) checkDelete(c Delete, stored model.Object) *fault.Error {
 	if stored == nil {
 		return fault.New(fault.NotFound, "%s %s does not exist", c.Key.Kind, c.Key.Name)
 	}
-	return checkVersion(c.Key, stored, c.Expected)
+	if err := checkVersion(c.Key, stored, c.Expected); err != nil {
+		return err
+	}
+	return s.checkUnused(stored)
 }
 
+// applyHostReport takes observations. One that changes nothing but the time of
+// the report and the work in flight keeps the version and emits no event: the
+// hosts report every few seconds, and a step that expects a version would lose
+// against every report.
 func (s *State) applyHostReport(c HostReport) {
 	for _, o := range c.Hosts {
 		stored, ok := s.Get(model.Key{Kind: model.KindHost, Name: o.Host}).(*model.Host)
@@ -216,36 +273,18 @@
 		host.Status.Health = o.Health
 		host.Status.InFlight = o.InFlight
 		host.Status.BootID = o.BootID
-		host.Status.LastReport = o.Observed
-		s.store(host)
-	}
-}
-
-// checkReferences refuses a resource that names another that does not exist.
-func (s *State) checkReferences(obj, stored model.Object) *fault.Error {
-	switch o := obj.(type) {
-	case *model.Host:
-		if before, ok := stored.(*model.Host); ok && before.Spec.Pool != o.Spec.Pool {
-			return fault.Field("spec.pool", "the current pool, "+before.Spec.Pool, "a host changes its pool by a move, not by a put")
-		}
-		return s.needPool("spec.pool", o.Spec.Pool)
-	case *model.Job:
-		return s.needPool("spec.pool", o.Spec.Pool)
-	case *model.Budget:
-		return s.needPool("spec.pool", o.Spec.Pool)
-	case *model.Wave:
-		for _, pool := range o.Spec.Pools {
-			if err := s.needPool("spec.pools", pool); err != nil {
-				return err
-			}
+		host.Status.LastReport = o.Observed.Round(0).UTC()
+		if isNewsOf(host, stored) {
+			s.store(host)
+		} else {
+			s.set(host)
 		}
 	}
-	return nil
 }
 
-func (s *State) needPool(field, name string) *fault.Error {
-	if s.Get(model.Key{Kind: model.KindPool, Name: name}) == nil {
-		return fault.Field(field, "an existing pool", "pool %s does not exist", name)
-	}
-	return nil
+// isNewsOf tells whether watchers and planners must see the report as a change.
+func isNewsOf(host, stored *model.Host) bool {
+	drained := host.Status.InFlight == 0 && stored.Status.InFlight != 0
+	return host.Status.Health != stored.Status.Health || host.Status.BootID != stored.Status.BootID ||
+		drained && host.Status.Phase != model.HostActive
 }
