Check planned stops, waves and tasks where they are committed

Cause: two planners during a failover, or operators racing a wave, can each decide a planned stop that the pool's budget allows only once. Change: HostStep, WaveStep, TaskStep and StatusStep are applied with checks against version, phase and epoch. The planned-stop ledger is derived from the hosts and kept as counters per pool, rack and zone. A host enters the wave's Done list in the entry that ends its stop. A HostReport carries marks per pool, so that unchanged hosts need no entry; a mark that was compared with an older health is dropped. Figures: before, none of the four commands was known. Conclusion: the planner may be wrong or late without breaking a budget.

--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -72,6 +72,9 @@
 	// Limit is the allowed range or set of the field, with its unit.
 	Limit   string `json:"limit,omitempty"`
 	Message string `json:"message"`
+	// Reason is the typed reason of a BudgetBlocked or QuotaExceeded refusal; its
+	// values are those of model.Reason.
+	Reason string `json:"reason,omitempty"`
 	// Current is the current version of a resource for Conflict, and the
 	// oldest version that can be watched for Compacted.
 	Current uint64 `json:"current,omitempty"`
--- a/internal/core/model/copy.go
+++ b/internal/core/model/copy.go
@@ -41,6 +41,7 @@
 	c.Spec.Pools = slices.Clone(w.Spec.Pools)
 	c.Status.Done = slices.Clone(w.Status.Done)
 	c.Status.Stopped = slices.Clone(w.Status.Stopped)
+	c.Status.Skipped = slices.Clone(w.Status.Skipped)
 	c.Status.Waiting = slices.Clone(w.Status.Waiting)
 	return &c
 }
--- a/internal/core/model/resources.go
+++ b/internal/core/model/resources.go
@@ -33,9 +33,12 @@
 
 // PoolStatus is what the system observes of a pool.
 type PoolStatus struct {
-	Hosts      int         `json:"hosts"`
-	Healthy    int         `json:"healthy"`
-	Demand     float64     `json:"demand"`
+	Hosts   int     `json:"hosts"`
+	Healthy int     `json:"healthy"`
+	Demand  float64 `json:"demand"`
+	// Reported is when the platform last listed the whole pool. Apply refreshes
+	// it without a new version, because no change of an operator is based on it.
+	Reported   time.Time   `json:"reported,omitzero"`
 	Conditions []Condition `json:"conditions,omitempty"`
 }
 
@@ -87,12 +90,16 @@
 	Epoch      uint64    `json:"epoch"`
 	Health     Health    `json:"health"`
 	LastReport time.Time `json:"lastReport,omitzero"`
+	// HealthSince is when Health last changed.
+	HealthSince time.Time `json:"healthSince,omitzero"`
 	// InFlight is the number of tasks and requests last reported.
 	InFlight int `json:"inFlight"`
 	// Stop is the planned stop in progress, or nil.
 	Stop *PlannedStop `json:"stop,omitempty"`
 	// PoolSince is the time of the last switch.
 	PoolSince time.Time `json:"poolSince,omitzero"`
+	// HomePool is the spare pool that the host is borrowed from, or empty.
+	HomePool string `json:"homePool,omitempty"`
 	// BootID changes with every boot; a reboot is over when it has changed.
 	BootID          string    `json:"bootID,omitempty"`
 	QuarantineUntil time.Time `json:"quarantineUntil,omitzero"`
@@ -198,10 +205,13 @@
 
 // WaveStatus is the progress of a wave. Done grows and never loses a host.
 type WaveStatus struct {
-	Phase    WavePhase   `json:"phase"`
-	Total    int         `json:"total"`
-	Done     []string    `json:"done,omitempty"`
-	Stopped  []string    `json:"stopped,omitempty"`
+	Phase   WavePhase `json:"phase"`
+	Total   int       `json:"total"`
+	Done    []string  `json:"done,omitempty"`
+	Stopped []string  `json:"stopped,omitempty"`
+	// Skipped are the hosts that were lost for longer than the straggler limit
+	// when the wave finished.
+	Skipped  []string    `json:"skipped,omitempty"`
 	Waiting  []WaitEntry `json:"waiting,omitempty"`
 	Reason   Reason      `json:"reason,omitempty"`
 	Message  string      `json:"message,omitempty"`
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -54,10 +54,22 @@
 	Observed time.Time
 }
 
-// HostReport is a batch of observations.
+// PoolMark says that the platform listed every host of a pool at Observed, and
+// that each host without an observation in the same report was as it is stored.
+type PoolMark struct {
+	Pool     string
+	Observed time.Time
+	// Base is the version of the snapshot that the listing was compared with.
+	// The mark is dropped if a health or the membership changed after it.
+	Base uint64
+}
+
+// HostReport is a batch of observations. Only changed hosts need an
+// observation; Marks keep the rest fresh.
 type HostReport struct {
 	Origin Origin
 	Hosts  []HostObservation
+	Marks  []PoolMark
 }
 
 // HostStep asks for one transition of a host's lifecycle.
@@ -66,7 +78,9 @@
 	Host   string
 	// Expected is the version of the host that the step is based on.
 	Expected uint64
-	To       model.HostPhase
+	// Epoch is the expected epoch of the host; 0 turns the check off.
+	Epoch uint64
+	To    model.HostPhase
 	// Stop starts a planned stop, with To = HostDraining.
 	Stop *model.PlannedStop
 	// Checkpoint, Reason and Message update the stop in progress.
@@ -75,9 +89,12 @@
 	Message    string
 	// Cancel ends the stop in progress without its action.
 	Cancel bool
+	// QuarantineUntil keeps new tasks off the host until then, if it is set.
+	QuarantineUntil time.Time
 }
 
-// WaveStep replaces the status of a wave.
+// WaveStep replaces the status of a wave, but for Done and Started: a host
+// enters Done in the entry that ends its stop.
 type WaveStep struct {
 	Origin   Origin
 	Wave     string
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -30,11 +30,12 @@
 	compacted uint64
 	changes   changeTable
 	audit     []AuditEntry
+	ledger    ledger
 }
 
 // New returns an empty state.
 func New() *State {
-	s := &State{kinds: make(map[model.Kind]*objects), changes: newChangeTable()}
+	s := &State{kinds: make(map[model.Kind]*objects), changes: newChangeTable(), ledger: newLedger()}
 	for _, kind := range model.Kinds() {
 		s.kinds[kind] = &objects{}
 	}
@@ -71,6 +72,18 @@
 	case HostReport:
 		s.advance(c.Origin.Time)
 		s.applyHostReport(c)
+	case HostStep:
+		s.advance(c.Origin.Time)
+		res = s.idempotent(c.Origin, func() Result { return s.applyHostStep(c) })
+	case WaveStep:
+		s.advance(c.Origin.Time)
+		res = s.idempotent(c.Origin, func() Result { return s.applyWaveStep(c) })
+	case TaskStep:
+		s.advance(c.Origin.Time)
+		res = s.idempotent(c.Origin, func() Result { return s.applyTaskStep(c) })
+	case StatusStep:
+		s.advance(c.Origin.Time)
+		s.applyStatusStep(c)
 	case Tick:
 		s.advance(c.Origin.Time)
 	default:
@@ -95,11 +108,13 @@
 	head := obj.Head()
 	head.Version = s.version
 	head.Modified = s.now
+	s.ledger.replace(s.Get(head.Key()), obj, s.version)
 	s.kinds[head.Kind].Set(head.Name, obj)
 	s.emit(Event{Version: s.version, Key: head.Key(), Object: obj})
 }
 
 func (s *State) remove(key model.Key) {
+	s.ledger.replace(s.Get(key), nil, s.version)
 	s.kinds[key.Kind].Delete(key.Name)
 	s.emit(Event{Version: s.version, Key: key})
 }
@@ -206,21 +221,6 @@
 	return checkVersion(c.Key, stored, c.Expected)
 }
 
-func (s *State) applyHostReport(c HostReport) {
-	for _, o := range c.Hosts {
-		stored, ok := s.Get(model.Key{Kind: model.KindHost, Name: o.Host}).(*model.Host)
-		if !ok || o.Observed.Before(stored.Status.LastReport) {
-			continue
-		}
-		host := stored.Clone().(*model.Host)
-		host.Status.Health = o.Health
-		host.Status.InFlight = o.InFlight
-		host.Status.BootID = o.BootID
-		host.Status.LastReport = o.Observed
-		s.store(host)
-	}
-}
-
 // checkReferences refuses a resource that names another that does not exist.
 func (s *State) checkReferences(obj, stored model.Object) *fault.Error {
 	switch o := obj.(type) {
