--- a/internal/core/state/dump.go
+++ b/internal/core/state/dump.go
@@ -19,15 +19,26 @@
 	// Changes are the remembered change IDs, oldest first.
 	Changes       []ChangeRecord
 	ChangeHorizon int64
+	// PoolChanges are in the order of the pools. They decide whether a PoolMark
+	// is taken, so every replica must have the same.
+	PoolChanges []PoolChange
 	// Requests are in the order of their IDs.
 	Requests []RequestRecord
 }
 
+// PoolChange is the version at which a health or the membership of a pool last
+// changed.
+type PoolChange struct {
+	Pool    string
+	Version uint64
+}
+
 // Dump returns the state as plain values. Later commands do not change it.
 func (s *State) Dump() *Dump {
 	d := &Dump{
 		Version: s.version, Now: s.now, Audit: s.audit[:len(s.audit):len(s.audit)],
 		Changes: s.changes.dump(), ChangeHorizon: s.changes.horizon, Requests: s.requests.dump(),
+		PoolChanges: s.ledger.changes(),
 	}
 	for _, kind := range model.Kinds() {
 		s.kinds[kind].Scan(func(_ string, obj model.Object) bool {
@@ -49,6 +60,9 @@
 	for _, obj := range d.Objects {
 		s.set(obj)
 	}
+	for _, c := range d.PoolChanges {
+		s.ledger.pool(c.Pool).changed = c.Version
+	}
 	s.changes.restore(d.Changes, d.ChangeHorizon)
 	s.requests.restore(d.Requests)
 	return s
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -95,6 +95,7 @@
 		scratch.kinds[kind] = forkTree(tree)
 	}
 	scratch.poolHosts = forkTree(s.poolHosts)
+	scratch.rebuildLedger()
 	return scratch.Apply(s.Version+1, cmd)
 }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -35,13 +35,14 @@
 	changes   changeTable
 	audit     []AuditEntry
 	requests  requestTable
+	ledger    ledger
 }
 
 // New returns an empty state.
 func New() *State {
 	s := &State{
 		kinds: make(map[model.Kind]*objects), poolHosts: &btree.Map[string, int]{},
-		changes: newChangeTable(), requests: newRequestTable(),
+		changes: newChangeTable(), requests: newRequestTable(), ledger: newLedger(),
 	}
 	for _, kind := range model.Kinds() {
 		s.kinds[kind] = &objects{}
@@ -93,6 +94,19 @@
 		s.advance(c.Origin.Time)
 		s.applyHostReport(c)
 		return Result{}
+	case HostStep:
+		s.advance(c.Origin.Time)
+		return s.idempotent(c.Origin, hostKey(c.Host), func() Result { return s.applyHostStep(c) })
+	case WaveStep:
+		s.advance(c.Origin.Time)
+		return s.idempotent(c.Origin, model.Key{Kind: model.KindWave, Name: c.Wave}, func() Result { return s.applyWaveStep(c) })
+	case TaskStep:
+		s.advance(c.Origin.Time)
+		return s.idempotent(c.Origin, model.Key{Kind: model.KindJob, Name: c.Job}, func() Result { return s.applyTaskStep(c) })
+	case StatusStep:
+		s.advance(c.Origin.Time)
+		s.applyStatusStep(c)
+		return Result{}
 	case RecordRequests:
 		s.advance(c.Origin.Time)
 		return s.applyRecordRequests(c)
@@ -129,11 +143,13 @@
 	before, _ := s.kinds[head.Kind].Set(head.Name, obj)
 	s.countHost(before, -1)
 	s.countHost(obj, 1)
+	s.ledger.replace(before, obj, s.version)
 }
 
 func (s *State) remove(key model.Key) {
 	before, _ := s.kinds[key.Kind].Delete(key.Name)
 	s.countHost(before, -1)
+	s.ledger.replace(before, nil, s.version)
 	s.emit(Event{Version: s.version, Key: key})
 }
 
@@ -259,32 +275,10 @@
 	return s.checkUnused(stored)
 }
 
-// applyHostReport takes observations. One that changes nothing but the time of
-// the report and the work in flight keeps the version and emits no event: the
-// hosts report every few seconds, and a step that expects a version would lose
-// against every report.
-func (s *State) applyHostReport(c HostReport) {
-	for _, o := range c.Hosts {
-		stored, ok := s.Get(model.Key{Kind: model.KindHost, Name: o.Host}).(*model.Host)
-		if !ok || o.Observed.Before(stored.Status.LastReport) {
-			continue
-		}
-		host := stored.Clone().(*model.Host)
-		host.Status.Health = o.Health
-		host.Status.InFlight = o.InFlight
-		host.Status.BootID = o.BootID
-		host.Status.LastReport = o.Observed.Round(0).UTC()
-		if isNewsOf(host, stored) {
-			s.store(host)
-		} else {
-			s.set(host)
-		}
-	}
-}
-
-// isNewsOf tells whether watchers and planners must see the report as a change.
+// isNewsOf tells whether watchers and planners must see a report as a change.
+// Other reports keep the version: hosts report every few seconds, and an
+// operator's step that expects a version would lose against every report.
 func isNewsOf(host, stored *model.Host) bool {
-	drained := host.Status.InFlight == 0 && stored.Status.InFlight != 0
-	return host.Status.Health != stored.Status.Health || host.Status.BootID != stored.Status.BootID ||
-		drained && host.Status.Phase != model.HostActive
+	return host.Status.Phase != model.HostActive ||
+		host.Status.Health != stored.Status.Health || host.Status.BootID != stored.Status.BootID
 }
--- a/internal/core/state/state_test.go
+++ b/internal/core/state/state_test.go
@@ -238,16 +238,18 @@
 		b.do(HostReport{Origin: b.origin(), Hosts: []HostObservation{{Host: "h1", Health: health, InFlight: inFlight, Observed: at}}})
 		return b.Get(model.Key{Kind: model.KindHost, Name: "h1"}).(*model.Host)
 	}
-	first := report(model.HealthHealthy, 3, b.now.Add(time.Second))
+	begin := b.now
+	b.now = begin.Add(4 * time.Second)
+	first := report(model.HealthHealthy, 3, begin.Add(time.Second))
 	events := len(b.events)
-	second := report(model.HealthHealthy, 2, b.now.Add(2*time.Second))
+	second := report(model.HealthHealthy, 2, begin.Add(2*time.Second))
 	require.Equal(t, first.Version, second.Version)
 	require.Equal(t, 2, second.Status.InFlight)
-	require.Equal(t, b.now.Add(2*time.Second), second.Status.LastReport)
+	require.Equal(t, begin.Add(2*time.Second), second.Status.LastReport)
 	require.Len(t, b.events, events)
-	stale := report(model.HealthUnhealthy, 0, b.now)
+	stale := report(model.HealthUnhealthy, 0, begin)
 	require.Same(t, second, stale)
-	require.Greater(t, report(model.HealthUnhealthy, 0, b.now.Add(3*time.Second)).Version, second.Version)
+	require.Greater(t, report(model.HealthUnhealthy, 0, begin.Add(3*time.Second)).Version, second.Version)
 }
 
 func (b *bench) change(id string, issued time.Time, digest uint64, expected uint64) Result {
