Decide admission, retries, records and routing of an entry host

Cause: the dispatcher sent every request to the least loaded endpoint and knew no queue, no retry, no record and no slot shared with peers.

EndpointUse gains Long; a Record after an Answer is described.

Conclusion: all event paths work for one dispatcher; policies are not compared yet.

--- /dev/null
+++ b/internal/core/dispatch/dispatch_test.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/core/fault"
+)
+
+// Guards against an answer that differs from what the attempt proves.
+func TestOutcomeOfOneAttempt(t *testing.T) {
+	for _, c := range []struct {
+		outcome AttemptOutcome
+		ran     fault.Ran
+		kind    fault.Kind
+	}{
+		{AttemptAnswered, fault.RanYes, ""},
+		{AttemptNotSent, fault.RanNo, fault.EndpointFailed},
+		{AttemptLost, fault.RanUnknown, fault.OutcomeUnknown},
+		{AttemptSilent, fault.RanUnknown, fault.OutcomeUnknown},
+	} {
+		f := newFixture(Config{})
+		f.announce("quotes", 1)
+		require.Len(t, of[Forward](f.step(Arrive{Request: f.request(1, true)})), 1)
+		a := of[Answer](f.step(Finished{ID: 1, Attempt: 1, Outcome: c.outcome}))
+		require.Len(t, a, 1)
+		require.Equal(t, c.ran, a[0].Ran)
+		if c.kind == "" {
+			require.Nil(t, a[0].Err)
+		} else {
+			require.Equal(t, c.kind, a[0].Err.Kind)
+		}
+		require.Zero(t, f.d.Open())
+	}
+}
+
+// Guards against request IDs whose retention is not bounded, and against "did
+// not run" for an ID of which an earlier try may have run.
+func TestRequestIDRules(t *testing.T) {
+	ms := func(d time.Duration) int64 { return start.Add(d).UnixMilli() }
+	for _, c := range []struct {
+		id   string
+		kind fault.Kind
+		ran  fault.Ran
+	}{
+		{"", fault.Invalid, fault.RanNo},
+		{"abc", fault.Invalid, fault.RanNo},
+		{"x.y", fault.Invalid, fault.RanNo},
+		{fmt.Sprintf("%d.", ms(time.Minute)), fault.Invalid, fault.RanNo},
+		{fmt.Sprintf("-%d.a", ms(time.Minute)), fault.Invalid, fault.RanNo},
+		{fmt.Sprintf("%d.a", ms(10*time.Minute+time.Millisecond)), fault.Invalid, fault.RanNo},
+		{fmt.Sprintf("%d.a", ms(0)), fault.RequestIDExpired, fault.RanUnknown},
+		{fmt.Sprintf("%d.a", ms(-time.Hour)), fault.RequestIDExpired, fault.RanUnknown},
+		{fmt.Sprintf("%d.a", ms(10*time.Minute)), "", ""},
+		{fmt.Sprintf("%d.a.b", ms(time.Second)), "", ""},
+	} {
+		f := newFixture(Config{})
+		f.announce("quotes", 1)
+		q := f.request(1, false)
+		q.RequestID = c.id
+		out := f.step(Arrive{Request: q})
+		if c.kind == "" {
+			require.Equal(t, []Effect{Record{ID: 1, Phase: RecordBegin}}, out, c.id)
+			continue
+		}
+		a := of[Answer](out)
+		require.Len(t, a, 1, c.id)
+		require.Equal(t, c.kind, a[0].Err.Kind, c.id)
+		require.Equal(t, c.ran, a[0].Ran, c.id)
+		require.Zero(t, f.d.Open())
+	}
+}
+
+// Guards against sending before the begin is recorded, and against a wrong
+// answer for an ID that is known.
+func TestBeginRefused(t *testing.T) {
+	for _, c := range []struct {
+		recorded Recorded
+		from     bool
+		kind     fault.Kind
+		ran      fault.Ran
+	}{
+		{Recorded{Err: fault.New(fault.Unavailable, "no quorum")}, false, fault.Unavailable, fault.RanNo},
+		{Recorded{Known: RecordBegin, Err: fault.New(fault.InProgress, "begun")}, false, fault.InProgress, fault.RanUnknown},
+		{Recorded{Known: RecordBegin}, false, fault.InProgress, fault.RanUnknown},
+		{Recorded{Known: RecordFinished, Err: fault.New(fault.Conflict, "finished")}, true, "", fault.RanYes},
+		{Recorded{Known: RecordUnknown, Err: fault.New(fault.OutcomeUnknown, "unknown")}, false, fault.OutcomeUnknown, fault.RanUnknown},
+		{Recorded{Known: RecordFinished, Err: fault.New(fault.RequestIDReused, "digest")}, false, fault.RequestIDReused, fault.RanNo},
+	} {
+		f := newFixture(Config{})
+		f.announce("quotes", 2)
+		require.Empty(t, of[Forward](f.step(Arrive{Request: f.request(1, false)})))
+		c.recorded.ID, c.recorded.Phase = 1, RecordBegin
+		out := f.step(c.recorded)
+		require.Empty(t, of[Forward](out))
+		a := of[Answer](out)
+		require.Len(t, a, 1)
+		require.Equal(t, c.from, a[0].FromRecord)
+		require.Equal(t, c.ran, a[0].Ran)
+		if c.kind != "" {
+			require.Equal(t, c.kind, a[0].Err.Kind)
+		}
+		require.Zero(t, f.d.Open())
+	}
+}
+
+// Guards against a second attempt of a request that may have run, and against
+// an answer before its record.
+func TestNonRepeatableAttempts(t *testing.T) {
+	for _, c := range []struct {
+		first  AttemptOutcome
+		again  bool
+		record RecordPhase
+	}{
+		{AttemptAnswered, false, RecordFinished},
+		{AttemptNotSent, true, 0},
+		{AttemptRefused, true, 0},
+		{AttemptLost, false, RecordUnknown},
+		{AttemptSilent, false, RecordUnknown},
+	} {
+		f := newFixture(Config{})
+		f.announce("quotes", 4)
+		f.step(Arrive{Request: f.request(1, false)})
+		first := of[Forward](f.step(Recorded{ID: 1, Phase: RecordBegin}))
+		require.Len(t, first, 1)
+		out := f.step(Finished{ID: 1, Attempt: 1, Outcome: c.first})
+		require.Empty(t, of[Answer](out))
+		if c.again {
+			require.Empty(t, of[Record](out))
+			out = append(out, f.pass(50*time.Millisecond, time.Millisecond)...)
+			next := of[Forward](out)
+			require.Len(t, next, 1)
+			require.Equal(t, 2, next[0].Attempt)
+			require.NotEqual(t, first[0].Endpoint, next[0].Endpoint)
+			continue
+		}
+		require.Equal(t, []Record{{ID: 1, Attempt: 1, Phase: c.record}}, of[Record](out))
+		// A failed write does not keep the whole answer from the caller.
+		a := of[Answer](f.step(Recorded{ID: 1, Phase: c.record, Err: fault.New(fault.Unavailable, "no quorum")}))
+		require.Len(t, a, 1)
+		require.Equal(t, c.first == AttemptAnswered, a[0].Err == nil)
+		require.Zero(t, f.d.Open())
+	}
+}
+
+// Guards against work admitted during the graceful stop, and against a stop
+// that drops admitted work.
+func TestStopFinishesAdmittedWork(t *testing.T) {
+	f := newFixture(Config{})
+	f.announce("quotes", 1)
+	for id := range uint64(10) {
+		f.step(Arrive{Request: f.request(id+1, true)})
+	}
+	f.step(StopRequested{})
+	a := of[Answer](f.step(Arrive{Request: f.request(99, true)}))
+	require.Len(t, a, 1)
+	require.Equal(t, fault.Stopping, a[0].Err.Kind)
+	require.Equal(t, fault.RanNo, a[0].Ran)
+	for id := range uint64(10) {
+		f.step(Finished{ID: id + 1, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond})
+	}
+	require.Len(t, of[Forward](f.effects), 10)
+	require.Len(t, of[Answer](f.effects), 11)
+	require.Zero(t, f.d.Open())
+}
+
+// Guards against waiting for an answer that cannot come in time.
+func TestDeadlineUnreachable(t *testing.T) {
+	f := newFixture(Config{})
+	f.announce("quotes", 1)
+	id := uint64(0)
+	for range 20 {
+		id++
+		f.step(Arrive{Request: f.request(id, true)})
+		f.step(Finished{ID: id, Attempt: 1, Outcome: AttemptAnswered, RunTime: 100 * time.Millisecond})
+	}
+	for range 80 {
+		id++
+		f.step(Arrive{Request: f.request(id, true)})
+	}
+	id++
+	q := f.request(id, true)
+	q.Deadline = f.now.Add(500 * time.Millisecond)
+	a := of[Answer](f.step(Arrive{Request: q}))
+	require.Len(t, a, 1)
+	require.Equal(t, fault.DeadlineUnreachable, a[0].Err.Kind)
+	require.Equal(t, fault.RanNo, a[0].Ran)
+}
+
+// Guards against a queue without bound, and against one caller's surge that
+// takes the whole queue.
+func TestQueueBoundAndFairness(t *testing.T) {
+	f := newFixture(Config{QueueLimit: 20})
+	f.announce("quotes", 1)
+	for id := range uint64(40) {
+		f.step(Arrive{Request: f.request(id+1, true)})
+	}
+	refused := of[Answer](f.effects)
+	require.Len(t, refused, 40-8-20)
+	require.Equal(t, fault.Overloaded, refused[0].Err.Kind)
+	q := f.request(100, true)
+	q.Caller = "caller-b"
+	out := f.step(Arrive{Request: q})
+	require.Len(t, of[Answer](out), 1)
+	require.NotEqual(t, uint64(100), of[Answer](out)[0].ID)
+	first := of[Forward](f.step(Finished{ID: 1, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond}))
+	second := of[Forward](f.step(Finished{ID: 2, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond}))
+	require.Contains(t, []uint64{first[0].ID, second[0].ID}, uint64(100))
+}
--- a/internal/core/dispatch/event.go
+++ b/internal/core/dispatch/event.go
@@ -106,6 +106,8 @@
 	Endpoint string
 	InUse    int
 	Queued   int
+	// Long is the number of slots in use by long work.
+	Long int
 }
 
 // PeerUse is what another entry host uses. It replaces what that peer said
@@ -161,7 +163,10 @@
 }
 
 // Record has the control replicas record a phase of a request. The shell adds
-// the digest and, for RecordFinished, the answer of the attempt.
+// the digest and, for RecordFinished, the answer of the attempt. Every Record
+// is answered by a Recorded. A Record other than RecordBegin may follow after
+// the Answer or a Gone; if the shell no longer holds the answer of the attempt,
+// it records RecordUnknown instead of RecordFinished.
 type Record struct {
 	ID      uint64
 	Attempt int
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"laburnumdock/internal/core/fault"
@@ -16,6 +17,12 @@
 // announcement that arrives late is recognised as old.
 const retention = 5 * time.Minute
 
+// maxEndpoints bounds the directory: twice the 16,000 endpoints expected.
+const maxEndpoints = 32768
+
+// MaxChanges bounds one listing of changes.
+const MaxChanges = 2048
+
 // Announcement is what an endpoint said of itself.
 type Announcement struct {
 	Endpoint, Host, Service, Address string
@@ -40,22 +47,42 @@
 }
 
 // Directory is the set of known endpoints. The control loop of an entry host
-// owns it. Invariant: entries holds the newest announcement of each endpoint.
+// owns it. Invariants: entries holds the newest announcement of each endpoint;
+// the list from oldest to newest holds every entry once, in the order of
+// their last change.
 type Directory struct {
 	entries map[string]*entry
 	// epochs is the current epoch of each host by the control replicas.
-	epochs map[string]uint64
+	epochs  map[string]uint64
+	changes uint64
+	oldest  *entry
+	newest  *entry
 }
 
-type entry struct{ Announcement }
+type entry struct {
+	Announcement
+	changed    uint64
+	prev, next *entry
+}
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{entries: make(map[string]*entry), epochs: make(map[string]uint64)}
 }
 
-// SetEpoch records the current epoch of a host.
-func (d *Directory) SetEpoch(host string, epoch uint64) { d.epochs[host] = epoch }
+// SetEpoch records the current epoch of a host. An older epoch is ignored,
+// because changes may be replayed after a reconnection.
+func (d *Directory) SetEpoch(host string, epoch uint64) {
+	if epoch <= d.epochs[host] {
+		return
+	}
+	d.epochs[host] = epoch
+	for _, e := range d.entries {
+		if e.Host == host {
+			d.touch(e)
+		}
+	}
+}
 
 // Merge takes an announcement and tells whether it was news. An announcement
 // of an old epoch is refused.
@@ -65,16 +92,89 @@
 	}
 	known := d.entries[a.Endpoint]
 	if known == nil {
-		d.entries[a.Endpoint] = &entry{Announcement: a}
+		if len(d.entries) >= maxEndpoints {
+			return false, fault.New(fault.Overloaded, "%d endpoints are known already", maxEndpoints)
+		}
+		known = &entry{Announcement: a}
+		d.entries[a.Endpoint] = known
+		d.touch(known)
 		return true, nil
 	}
 	if !a.newer(known.Announcement) {
 		return false, nil
 	}
 	known.Announcement = a
+	d.touch(known)
 	return true, nil
 }
 
+// touch makes e the newest change.
+func (d *Directory) touch(e *entry) {
+	if e.changed != 0 {
+		d.unlink(e)
+	}
+	d.changes++
+	e.changed = d.changes
+	e.prev = d.newest
+	e.next = nil
+	if d.newest != nil {
+		d.newest.next = e
+	} else {
+		d.oldest = e
+	}
+	d.newest = e
+}
+
+func (d *Directory) unlink(e *entry) {
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		d.oldest = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		d.newest = e.prev
+	}
+}
+
+// Changes is the number of the last change.
+func (d *Directory) Changes() uint64 { return d.changes }
+
+// after returns the first entry that changed after change n, or nil.
+func (d *Directory) after(n uint64) *entry {
+	if d.newest == nil || d.newest.changed <= n {
+		return nil
+	}
+	e := d.newest
+	for e.prev != nil && e.prev.changed > n {
+		e = e.prev
+	}
+	return e
+}
+
+// ChangesSince lists the announcements that changed after change n, the
+// oldest change first, and the number to continue from. A listing has at most
+// MaxChanges entries; the next one continues it.
+func (d *Directory) ChangesSince(n uint64) ([]Announcement, uint64) {
+	var list []Announcement
+	for e := d.after(n); e != nil && len(list) < MaxChanges; e = e.next {
+		list = append(list, e.Announcement)
+		n = e.changed
+	}
+	return list, n
+}
+
+// Follow calls yield for every endpoint that changed after change n, with
+// whether its epoch is still current, and returns the number of the last
+// change.
+func (d *Directory) Follow(n uint64, yield func(a *Announcement, current bool)) uint64 {
+	for e := d.after(n); e != nil; e = e.next {
+		yield(&e.Announcement, e.Epoch >= d.epochs[e.Host])
+	}
+	return d.changes
+}
+
 // Routable tells whether new work may be sent to the endpoint.
 func (d *Directory) Routable(a Announcement, now time.Time) bool {
 	return !a.Leaving && now.Sub(a.Heard) < Lease && a.Epoch >= d.epochs[a.Host]
@@ -89,11 +189,16 @@
 	}
 }
 
-// Expire forgets endpoints that were silent for long.
-func (d *Directory) Expire(now time.Time) {
+// Expire forgets endpoints that were silent for long and returns their names.
+func (d *Directory) Expire(now time.Time) []string {
+	var gone []string
 	for name, e := range d.entries {
 		if now.Sub(e.Heard) > retention {
+			gone = append(gone, name)
+			d.unlink(e)
 			delete(d.entries, name)
 		}
 	}
+	slices.Sort(gone)
+	return gone
 }
--- /dev/null
+++ b/internal/core/route/pick.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	// DefaultSlack keeps the chance that short work finds no slot near 1% for
+	// random arrivals (square-root staffing).
+	DefaultSlack = 2.2
+	// demandSpan is the span over which the demand of short work is averaged.
+	demandSpan = 100 * time.Millisecond
+	// shareSpan is the span over which this entry host's share of the load is
+	// averaged.
+	shareSpan = 2 * time.Second
+)
+
+// demand is the averaged load of a service.
+type demand struct {
+	at time.Duration
+	// short is the mean number of short attempts that run or wait.
+	short float64
+	// own and peers are the mean numbers of used slots.
+	own, peers float64
+	// reserve is the number of slots kept for short work on all endpoints, and
+	// longLimit the number of this entry host's long attempts.
+	reserve, longLimit int
+	long               int
+	inUse              int
+}
+
+// Wish is what is asked of Pick.
+type Wish struct {
+	Long bool
+	// Not is the endpoint of the former attempt, which is avoided.
+	Not *Endpoint
+}
+
+// Pick returns the endpoint for an attempt, or nil if no slot may be taken.
+func (t *Table) Pick(s *Service, now time.Duration, w Wish) *Endpoint {
+	if len(s.endpoints) == 0 {
+		return nil
+	}
+	if t.cfg.Placement == TwoChoices {
+		if e := t.pickTwo(s, now, w); e != nil {
+			return e
+		}
+	}
+	if w.Long && t.cfg.Placement == SplitLearned && s.demand.long >= s.demand.longLimit {
+		return nil
+	}
+	var best *Endpoint
+	score := math.MinInt
+	// The scan starts at a random place so that equal endpoints share the load.
+	n := len(s.endpoints)
+	start := s.randomIndex(n)
+	for i := range n {
+		at := start + i
+		if at >= n {
+			at -= n
+		}
+		e := s.endpoints[at]
+		if v, ok := t.score(e, now, w); ok && v > score {
+			best = e
+			score = v
+		}
+	}
+	return best
+}
+
+// pickTwo takes the better of two random endpoints. It returns nil if neither
+// has a free slot.
+func (t *Table) pickTwo(s *Service, now time.Duration, w Wish) *Endpoint {
+	a := s.endpoints[s.randomIndex(len(s.endpoints))]
+	b := s.endpoints[s.randomIndex(len(s.endpoints))]
+	va, oka := t.score(a, now, w)
+	vb, okb := t.score(b, now, w)
+	switch {
+	case oka && (!okb || va >= vb):
+		return a
+	case okb:
+		return b
+	}
+	return nil
+}
+
+// Another tells whether an endpoint other than the given one takes new work
+// now or when a slot is free.
+func (t *Table) Another(s *Service, now time.Duration, not *Endpoint) bool {
+	for _, e := range s.endpoints {
+		if e != not && e.routable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Weights of the score: another rack or zone than the failed attempt's comes
+// before the number of free slots.
+const (
+	otherZone = 200000
+	otherRack = 100000
+)
+
+// score tells whether the endpoint may take the attempt, and how well it fits.
+func (t *Table) score(e *Endpoint, now time.Duration, w Wish) (int, bool) {
+	if !e.routable(now) || e == w.Not {
+		return 0, false
+	}
+	free := t.free(e, now)
+	if free <= 0 {
+		return 0, false
+	}
+	if w.Long && t.cfg.Placement == SplitLearned && e.Long+e.peerLong >= e.Slots-e.reserve() {
+		return 0, false
+	}
+	v := e.Slots - e.InUse - e.peers
+	if w.Not != nil {
+		if e.Zone != w.Not.Zone {
+			v += otherZone
+		}
+		if e.Rack != w.Not.Rack {
+			v += otherRack
+		}
+	}
+	return v, true
+}
+
+// reserve is the number of slots of the endpoint that long work must leave.
+func (e *Endpoint) reserve() int {
+	s := e.service
+	n := len(s.endpoints)
+	r := s.demand.reserve / n
+	if e.order < s.demand.reserve%n {
+		r++
+	}
+	return r
+}
+
+func (s *Service) randomIndex(n int) int {
+	s.random ^= s.random << 13
+	s.random ^= s.random >> 7
+	s.random ^= s.random << 17
+	high, _ := bits.Mul64(s.random, uint64(n))
+	return int(high)
+}
+
+// Start counts an attempt on an endpoint.
+func (t *Table) Start(e *Endpoint, long bool) {
+	e.InUse++
+	e.service.demand.inUse++
+	if long {
+		e.Long++
+		e.service.demand.long++
+	}
+}
+
+// End counts the end of an attempt.
+func (t *Table) End(e *Endpoint, long bool) {
+	e.InUse--
+	e.service.demand.inUse--
+	if long {
+		e.Long--
+		e.service.demand.long--
+	}
+}
+
+// TurnLong counts a running attempt as long from now on.
+func (t *Table) TurnLong(e *Endpoint) {
+	e.Long++
+	e.service.demand.long++
+}
+
+// InFlight is the number of this entry host's attempts in a service.
+func (s *Service) InFlight() int { return s.demand.inUse }
+
+// LongInFlight is the number of those that count as long.
+func (s *Service) LongInFlight() int { return s.demand.long }
+
+// Observe averages the demand of a service. Waiting is the number of short
+// requests in the queue of this entry host.
+func (t *Table) Observe(s *Service, now time.Duration, waiting int) {
+	d := &s.demand
+	peers, peerLong := 0, 0
+	for _, e := range s.endpoints {
+		peers += e.peers
+		peerLong += e.peerLong
+	}
+	step := float64(now - d.at)
+	d.at = now
+	quick := 1 - math.Exp(-step/float64(demandSpan))
+	slow := 1 - math.Exp(-step/float64(shareSpan))
+	current := d.inUse - d.long + waiting + peers - peerLong
+	d.short += quick * (float64(current) - d.short)
+	d.own += slow * (float64(d.inUse+waiting) - d.own)
+	d.peers += slow * (float64(peers) - d.peers)
+	need := int(math.Ceil(d.short + t.cfg.Slack*math.Sqrt(d.short)))
+	// Long work keeps one slot of every endpoint, so that it never starves, and
+	// short work another one, so that a surge finds room.
+	n := len(s.endpoints)
+	d.reserve = min(max(need, n), max(s.slots-n, 0))
+	share := 1.0
+	if len(t.peers) > 0 && d.own+d.peers > 0 {
+		share = max(d.own/(d.own+d.peers), 1/float64(len(t.members)))
+	}
+	d.longLimit = max(int(math.Round(share*float64(s.slots-d.reserve))), 1)
+}
+
+// Reserve is the number of slots kept for short work, for reports.
+func (s *Service) Reserve() int { return s.demand.reserve }
