Run the entry host as small parts round the dispatcher

Cause: the entry host forwarded through one shared transport, lost events when its queue was full and knew neither peers nor control replicas. Change: one control loop with a bounded queue, of which refusable messages are offered and all others posted; per-endpoint transports that count the bytes of each connection; checks for silent connections; validated announcements; the exchange between entry hosts with ages that a delayed message cannot lower; a control client that resumes, lists again and never goes back; a recorder with batches; reports, health pages and a graceful shutdown. The stand-in endpoint has slots, connections, pings, a ledger of runs and fault switches.

--- /dev/null
+++ b/internal/entry/controlclient.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	pb "laburnumdock/gen/laburnumdock/v1"
+	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/logevent"
+)
+
+// Times of the connection to the control replicas.
+const (
+	// controlPing is after how much silence an HTTP/2 ping is sent, and how
+	// long its answer may take.
+	controlPing = time.Second
+	// markTimeout ends a stream that has sent progress marks and then stops.
+	markTimeout = 3 * time.Second
+	// listTimeout bounds the wait for the first message and between the
+	// messages of a list.
+	listTimeout = 3 * time.Second
+	// reconnectDelay is the mean wait before the next replica is tried.
+	reconnectDelay    = 100 * time.Millisecond
+	maxReconnectDelay = 2 * time.Second
+	// relistJitter spreads the lists of many entry hosts after a compaction.
+	relistJitter = time.Second
+)
+
+var (
+	errLagging = errors.New("replica is behind the configuration in force")
+	errEnded   = errors.New("stream ended")
+)
+
+// watchedKinds are the resources that an entry host follows.
+var watchedKinds = []string{string(model.KindPool), string(model.KindBudget), string(model.KindHost), string(model.KindConfig)}
+
+// controlClients are the clients of the control replicas, in the order of the
+// settings.
+func controlClients(cfg Config) []laburnumdockv1connect.ControlServiceClient {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	var list []laburnumdockv1connect.ControlServiceClient
+	for _, address := range cfg.Controls {
+		transport := &http.Transport{
+			Protocols: protocols, IdleConnTimeout: idleTimeout,
+			HTTP2: &http.HTTP2Config{SendPingTimeout: controlPing, PingTimeout: controlPing},
+		}
+		list = append(list, laburnumdockv1connect.NewControlServiceClient(&http.Client{Transport: transport}, address))
+	}
+	return list
+}
+
+// controlClient follows the configuration. Its goroutine owns everything but
+// current. Invariant: the version of the configuration never goes back.
+type controlClient struct {
+	cfg     Config
+	clients []laburnumdockv1connect.ControlServiceClient
+	config  *configuration
+	// relist asks for a list instead of the changes since the last version.
+	relist bool
+	// connected is whether the last report said so.
+	connected bool
+	// current is what other goroutines read.
+	current atomic.Pointer[ConfigStatus]
+}
+
+// ConfigStatus is what is known of the configuration. It is immutable.
+type ConfigStatus struct {
+	// Version of the configuration in force; 0 before the first list.
+	Version uint64 `json:"version"`
+	Listed  bool   `json:"listed"`
+	// Replica is the control replica that is followed, or empty.
+	Replica string `json:"replica,omitempty"`
+	// Configs are the values by name of the config and key.
+	Configs map[string]map[string]string `json:"configs,omitempty"`
+}
+
+func newControlClient(cfg Config, q queue) *controlClient {
+	c := &controlClient{cfg: cfg, clients: controlClients(cfg), config: newConfiguration(q), relist: true}
+	c.current.Store(&ConfigStatus{})
+	return c
+}
+
+// run follows one replica after the other until ctx ends.
+func (c *controlClient) run(ctx context.Context) error {
+	if len(c.clients) == 0 {
+		return nil
+	}
+	delay := reconnectDelay
+	next := rand.IntN(len(c.clients))
+	for ctx.Err() == nil {
+		progress, err := c.follow(ctx, next)
+		c.noteLost(ctx, next, err)
+		if progress {
+			delay = reconnectDelay
+		}
+		wait := delay/2 + rand.N(delay)
+		if fault.KindOf(kindError(err)) == fault.Compacted {
+			c.relist = true
+			wait = rand.N(relistJitter)
+		} else {
+			next = (next + 1) % len(c.clients)
+			delay = min(delay*2, maxReconnectDelay)
+		}
+		sleep(ctx, wait)
+	}
+	return nil
+}
+
+// follow reads one stream to its end and tells whether it brought anything.
+func (c *controlClient) follow(ctx context.Context, index int) (bool, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(listTimeout, func() { cancel(eris.New("stream is silent")) })
+	defer silent.Stop()
+	stream, err := c.clients[index].Watch(ctx, connect.NewRequest(&pb.WatchRequest{
+		FromVersion: c.config.version, ListFirst: c.relist, Kinds: watchedKinds,
+	}))
+	if err != nil {
+		return false, err
+	}
+	defer stream.Close()
+	if !c.relist {
+		// A stream without changes may stay silent unless the replica sends
+		// progress marks; HTTP/2 pings watch the connection below it.
+		silent.Stop()
+	}
+	progress := false
+	for stream.Receive() {
+		marked, err := c.take(stream.Msg(), index)
+		if err != nil {
+			return progress, err
+		}
+		progress = true
+		switch {
+		case c.relist:
+			silent.Reset(listTimeout)
+		case marked:
+			silent.Reset(markTimeout)
+		default:
+			silent.Stop()
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return progress, cause
+	}
+	if err := stream.Err(); err != nil {
+		return progress, err
+	}
+	return progress, errEnded
+}
+
+// take applies one message and tells whether it is a progress mark.
+func (c *controlClient) take(msg *pb.WatchResponse, index int) (bool, error) {
+	if c.relist {
+		return false, c.takeList(msg, index)
+	}
+	if msg.GetVersion() < c.config.version {
+		return false, errLagging
+	}
+	if err := c.config.apply(msg); err != nil {
+		return false, err
+	}
+	c.publish(index)
+	return msg.GetKind() == "", nil
+}
+
+// takeList collects a list and puts it in force once it is whole and not older
+// than what is in force.
+func (c *controlClient) takeList(msg *pb.WatchResponse, index int) error {
+	if !msg.GetListed() {
+		return c.config.collect(msg)
+	}
+	if msg.GetVersion() < c.config.version {
+		c.config.dropList()
+		return errLagging
+	}
+	c.config.applyList(msg.GetVersion())
+	c.relist = false
+	c.publish(index)
+	return nil
+}
+
+func (c *controlClient) publish(index int) {
+	c.current.Store(&ConfigStatus{
+		Version: c.config.version, Listed: true, Replica: c.cfg.Controls[index], Configs: c.config.values,
+	})
+	if !c.connected {
+		c.connected = true
+		c.cfg.Log.Log(logevent.ControlConnected, logevent.Fields{"replica": c.cfg.Controls[index], "version": c.config.version})
+	}
+}
+
+// noteLost keeps the configuration in force and says that nobody is followed.
+func (c *controlClient) noteLost(ctx context.Context, index int, err error) {
+	c.config.dropList()
+	status := *c.current.Load()
+	status.Replica = ""
+	c.current.Store(&status)
+	if c.connected && ctx.Err() == nil {
+		c.connected = false
+		c.cfg.Log.Err(logevent.ControlLost, err, logevent.Fields{"replica": c.cfg.Controls[index]})
+	}
+}
+
+// kindError returns err as an error with the kind that a replica gave it.
+func kindError(err error) error {
+	ce, ok := errors.AsType[*connect.Error](err)
+	if !ok {
+		return err
+	}
+	kind := fault.Kind(ce.Meta().Get(answer.KindHeader))
+	if kind == "" {
+		kind = fault.Unavailable
+	}
+	return fault.New(kind, "%s", ce.Message())
+}
+
+// sleep waits unless ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,5 +1,6 @@
 // Package entry runs an entry host. One goroutine, the control loop, owns the
-// dispatcher; traffic goroutines send it events and carry out its effects.
+// dispatcher and reads one bounded queue; traffic goroutines send it messages
+// and carry out its effects.
 package entry
 
 import (
@@ -8,115 +9,150 @@
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
 	"laburnumdock/internal/core/dispatch"
-	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/logevent"
 )
 
-// tickInterval is the resolution of leases and deadlines in the dispatcher.
-const tickInterval = 100 * time.Millisecond
-
-// Config is what an entry host needs.
+// Config is what an entry host needs. Fields left at zero get their default.
 type Config struct {
 	Name string
-	// QueueLength bounds the events that wait for the control loop.
-	QueueLength  int
+	// Version is the build, for /version.
+	Version string
+	// Peers are the base addresses of the other entry hosts.
+	Peers []string
+	// Controls are the base addresses of the control replicas. Without any,
+	// the host runs without configuration and cannot record requests.
+	Controls []string
+	// QueueLength bounds the messages that wait for the control loop.
+	QueueLength int
+	// MaxRequests bounds the requests of callers in the process.
+	MaxRequests int
+	// MaxBodyBytes bounds the body of a request and of an answer.
 	MaxBodyBytes int64
-	// DefaultDeadline holds for requests without one.
-	DefaultDeadline time.Duration
-	Log             *logevent.Logger
-}
-
-// Host is one entry host.
-type Host struct {
-	cfg    Config
-	queue  chan message
-	nextID atomic.Uint64
-	client *http.Client
-	// waiting holds the reply channel of each request; the control loop owns it.
-	waiting    map[uint64]chan dispatch.Effect
-	dispatcher *dispatch.Dispatcher
+	// DefaultDeadline holds for requests without one, MaxDeadline for all.
+	DefaultDeadline, MaxDeadline time.Duration
+	// SettleTime is how long announcements are heard before the host is ready.
+	SettleTime time.Duration
+	// BalancerDelay is how long the load balancer needs to notice that the
+	// host is not ready; DrainTimeout bounds the wait for requests in flight.
+	BalancerDelay, DrainTimeout time.Duration
+	Log                         *logevent.Logger
+	Metrics                     metrics.Registry
 }
 
-// message is an event for the control loop; reply is set for an Arrive.
-type message struct {
-	event  dispatch.Event
-	reply  chan dispatch.Effect
-	result chan *fault.Error
-}
+// Defaults of the configuration.
+const (
+	defaultQueueLength  = 4096
+	defaultMaxRequests  = 8192
+	defaultMaxBodyBytes = 1 << 20
+	defaultDeadline     = 10 * time.Second
+	defaultMaxDeadline  = 10 * time.Minute
+	defaultSettleTime   = time.Second
+	defaultDrainTimeout = 10 * time.Minute
+	// defaultConnections is assumed of an executor that is not known yet.
+	defaultConnections = 64
+)
 
-// New returns an entry host that is not running yet.
-func New(cfg Config) *Host {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = maxIdlePerEndpoint
-	return &Host{
-		cfg: cfg, queue: make(chan message, cfg.QueueLength), client: &http.Client{Transport: transport},
-		waiting: make(map[uint64]chan dispatch.Effect), dispatcher: dispatch.New(),
+func (c *Config) setDefaults() {
+	orDefault(&c.QueueLength, defaultQueueLength)
+	orDefault(&c.MaxRequests, defaultMaxRequests)
+	orDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	orDefault(&c.DefaultDeadline, defaultDeadline)
+	orDefault(&c.MaxDeadline, defaultMaxDeadline)
+	orDefault(&c.SettleTime, defaultSettleTime)
+	orDefault(&c.DrainTimeout, defaultDrainTimeout)
+	if c.Log == nil {
+		c.Log = logevent.Discard()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
 	}
 }
 
-// maxIdlePerEndpoint is the number of connections that an executor allows.
-const maxIdlePerEndpoint = 64
-
-// Run is the control loop. It returns when ctx ends.
-func (h *Host) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			h.deliver(h.dispatcher.Step(time.Now(), dispatch.Ticked{}))
-		case m := <-h.queue:
-			h.handle(m)
-		}
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
 	}
 }
 
-func (h *Host) handle(m message) {
-	switch e := m.event.(type) {
-	case dispatch.Arrive:
-		h.waiting[e.Request.ID] = m.reply
-	case dispatch.Gone:
-		delete(h.waiting, e.ID)
-	case dispatch.Announced:
-		_, err := h.dispatcher.Directory.Merge(e.Announcement)
-		m.result <- err
-		return
-	}
-	h.deliver(h.dispatcher.Step(time.Now(), m.event))
+// Host is one entry host.
+type Host struct {
+	cfg Config
+	// incarnation is the start time in nanoseconds. It tells the requests and
+	// the peer messages of this process from those of an earlier one.
+	incarnation uint64
+	started     time.Time
+	queue       queue
+	loop        *loop
+	links       *links
+	recorder    *recorder
+	control     *controlClient
+	peers       []*peer
+	reporter    *reporter
+	metrics     *hostMetrics
+	nextID      atomic.Uint64
+	// requests counts the exchanges that the loop has not forgotten.
+	requests atomic.Int64
+	// heard is set by the first announcement, in nanoseconds after started.
+	heard    atomic.Int64
+	stopping atomic.Bool
 }
 
-// deliver hands effects to the traffic goroutines. A reply channel has room
-// for every effect of its request, so this never blocks.
-func (h *Host) deliver(effects []dispatch.Effect) {
-	for _, effect := range effects {
-		switch e := effect.(type) {
-		case dispatch.Forward:
-			h.reply(e.ID, e, false)
-		case dispatch.Answer:
-			h.reply(e.ID, e, true)
-		}
+// New returns an entry host that is not running yet.
+func New(cfg Config) *Host {
+	cfg.setDefaults()
+	h := &Host{cfg: cfg, started: time.Now(), queue: newQueue(cfg.QueueLength)}
+	h.incarnation = uint64(h.started.UnixNano())
+	h.metrics = newHostMetrics(cfg.Metrics, h)
+	h.links = newLinks(cfg, len(cfg.Peers)+1)
+	h.recorder = newRecorder(cfg, h.queue, h.metrics)
+	h.control = newControlClient(cfg, h.queue)
+	h.reporter = newReporter(cfg, h.queue)
+	for _, address := range cfg.Peers {
+		h.peers = append(h.peers, newPeer(h, address))
 	}
+	h.loop = newLoop(h, dispatch.New())
+	return h
 }
 
-func (h *Host) reply(id uint64, e dispatch.Effect, last bool) {
-	if ch, ok := h.waiting[id]; ok {
-		ch <- e
-	}
-	if last {
-		delete(h.waiting, id)
+// Run runs the host until ctx ends, then shuts it down gracefully: the caller
+// keeps serving the Handler until Run returns.
+func (h *Host) Run(ctx context.Context) error {
+	// The parts outlive ctx: requests in flight need them to finish.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return h.loop.run(inner) })
+	group.Go(func() error { return h.recorder.run(inner) })
+	group.Go(func() error { return h.control.run(inner) })
+	group.Go(func() error { return h.reporter.run(inner) })
+	for _, p := range h.peers {
+		group.Go(func() error { return p.run(inner) })
 	}
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			h.shutdown(inner)
+		case <-inner.Done():
+		}
+		return nil
+	})
+	err := group.Wait()
+	h.links.close()
+	return err
 }
 
-// send hands an event to the control loop, or tells that its queue is full.
-func (h *Host) send(m message) *fault.Error {
-	select {
-	case h.queue <- m:
-		return nil
-	default:
-		h.cfg.Log.Log(logevent.QueueFull, nil)
-		return fault.New(fault.Overloaded, "%d events wait already", cap(h.queue))
-	}
+// Handler returns the routes for callers, endpoints, peers and operators.
+func (h *Host) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve)
+	mux.HandleFunc("POST /v1/announce", h.announce)
+	h.routePeers(mux)
+	h.routeHealth(mux)
+	return mux
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -3,25 +3,30 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/dghubble/sling"
+	"golang.org/x/sync/errgroup"
 
-	"laburnumdock/internal/answer"
-	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/entry"
 )
 
-// AnnounceInterval is how often an endpoint announces itself.
-const AnnounceInterval = 500 * time.Millisecond
+// Defaults of an executor.
+const (
+	// AnnounceInterval is how often an endpoint announces itself.
+	AnnounceInterval = 500 * time.Millisecond
+	// DefaultSlots and DefaultConnections are those of the users' executors.
+	DefaultSlots       = 8
+	DefaultConnections = 64
+	// MaxRunTime bounds the run time of every kind of work.
+	MaxRunTime = 10 * time.Minute
+	// stopTimeout bounds the wait for requests in flight at the end.
+	stopTimeout = 5 * time.Second
+)
 
 // EndpointConfig describes one endpoint.
 type EndpointConfig struct {
@@ -30,16 +35,22 @@
 	EntryHosts []string
 	// RunTime returns how long a kind of work takes.
 	RunTime func(workKind string) time.Duration
+	// LeaveDelay is how long a leaving endpoint still takes requests that were
+	// sent before every entry host knew that it leaves.
+	LeaveDelay time.Duration
 }
 
 // Endpoint is a running stand-in of an executor.
 type Endpoint struct {
 	cfg      EndpointConfig
-	listener net.Listener
+	listener *faultListener
 	slots    chan struct{}
 	sequence atomic.Uint64
 	leaving  atomic.Bool
-	ran      atomic.Int64
+	fault    atomic.Pointer[Fault]
+	ledger   *ledger
+	// stop ends what hangs when the endpoint stops.
+	stop chan struct{}
 }
 
 // NewEndpoint listens on address.
@@ -48,69 +59,81 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Announcement.Address = l.Addr().String()
-	cfg.Announcement.Incarnation = uint64(time.Now().UnixNano())
-	return &Endpoint{cfg: cfg, listener: l, slots: make(chan struct{}, cfg.Announcement.Slots)}, nil
+	a := &cfg.Announcement
+	a.Address = l.Addr().String()
+	a.Incarnation = uint64(time.Now().UnixNano())
+	if a.Slots == 0 {
+		a.Slots = DefaultSlots
+	}
+	if a.Connections == 0 {
+		a.Connections = DefaultConnections
+	}
+	if cfg.RunTime == nil {
+		cfg.RunTime = func(string) time.Duration { return 0 }
+	}
+	e := &Endpoint{cfg: cfg, slots: make(chan struct{}, a.Slots), ledger: newLedger(), stop: make(chan struct{})}
+	e.listener = &faultListener{Listener: l, limit: a.Connections, open: make(map[*faultConn]struct{})}
+	e.fault.Store(&Fault{})
+	return e, nil
 }
 
+// Address returns where the endpoint listens.
+func (e *Endpoint) Address() string { return e.cfg.Announcement.Address }
+
 // Run serves and announces until ctx ends; then it leaves gracefully.
 func (e *Endpoint) Run(ctx context.Context) error {
-	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(e.listener) }()
-	ticker := time.NewTicker(AnnounceInterval)
-	defer ticker.Stop()
-	e.announce()
-	for {
-		select {
-		case err := <-done:
+	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: stopTimeout}
+	group, inner := errgroup.WithContext(context.WithoutCancel(ctx))
+	announcing, stopAnnouncing := context.WithCancel(inner)
+	defer stopAnnouncing()
+	group.Go(func() error {
+		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
-		case <-ticker.C:
-			e.announce()
+		}
+		return nil
+	})
+	leave := make(chan struct{})
+	group.Go(func() error {
+		e.announceAll(announcing, leave)
+		return nil
+	})
+	group.Go(func() error {
+		defer stopAnnouncing()
+		select {
 		case <-ctx.Done():
-			e.leaving.Store(true)
-			e.announce()
-			stop, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-			defer cancel()
-			return server.Shutdown(stop)
+		case <-inner.Done():
+			return nil
 		}
-	}
+		e.leaving.Store(true)
+		close(leave)
+		wait(inner, e.cfg.LeaveDelay)
+		return e.shutdown(server)
+	})
+	return group.Wait()
 }
 
-func (e *Endpoint) announce() {
-	a := e.cfg.Announcement
-	a.Sequence = e.sequence.Add(1)
-	a.State = "serving"
-	if e.leaving.Load() {
-		a.State = "leaving"
-	}
-	for _, base := range e.cfg.EntryHosts {
-		// An entry host that does not answer is tried again with the next
-		// announcement.
-		_, _ = sling.New().Base(base).Post("/v1/announce").BodyJSON(a).ReceiveSuccess(nil)
+// shutdown waits for the requests in flight. What hangs by a fault is ended
+// first, and silent connections are closed.
+func (e *Endpoint) shutdown(server *http.Server) error {
+	close(e.stop)
+	e.listener.closeSilent()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return server.Close()
 	}
+	return nil
 }
 
-func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(entry.HeaderRequestID, r.Header.Get(entry.HeaderRequestID))
-	select {
-	case e.slots <- struct{}{}:
-		defer func() { <-e.slots }()
-	default:
-		answer.WriteRan(w, fault.New(fault.Overloaded, "all %d slots are taken", cap(e.slots)), fault.RanNo)
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	time.Sleep(e.cfg.RunTime(r.Header.Get(entry.HeaderWorkKind)))
-	e.ran.Add(1)
-	var out bytes.Buffer
-	_ = json.NewEncoder(&out).Encode(map[string]string{
-		"endpoint": e.cfg.Announcement.Endpoint, "path": r.URL.Path, "echo": string(body),
-	})
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", fmt.Sprint(out.Len()))
-	_, _ = w.Write(out.Bytes())
 }
