Serve watches, audit, verbs, descriptions and roles over the API

Cause: the API listed, read and changed resources only; anybody could name any actor, and a body that said null or ended early could be taken.

Change: - Watch streams as lines of JSON. A client resumes from the version of a progress line, which never lies inside the events of one command. The buffer of a watcher is the shared event window: a watcher behind it gets slow_watcher, a client that receives no batch within the write timeout is cut off, compacted and overloaded answers carry a random Laburnum-Retry-Ms. - Verbs of hosts, waves and jobs build their command for the current version, and again after a conflict, each try under a change ID derived from the client's.

Tests: refusals by table, change IDs, races of verbs, watch groups, slow and stalled watchers, roles, linearizability of put and get, fuzzing of bodies.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,182 +3,163 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"laburnumdock/internal/answer"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
+	"laburnumdock/internal/logevent"
 )
 
 // Backend is the control replica as the API sees it.
 type Backend interface {
+	// Propose has a command committed, on the leader, and returns its result.
+	// The error outcome_unknown means that it may still be committed.
 	Propose(ctx context.Context, cmd state.Command) (state.Result, error)
+	// ReadSnapshot returns a snapshot with every change that was acknowledged
+	// before the call.
 	ReadSnapshot(ctx context.Context) (*state.Snapshot, error)
+	// Snapshot returns what this replica has applied, which may lag.
 	Snapshot() *state.Snapshot
+	// Changed returns a channel that is closed when a newer snapshot is there
+	// than the one that a later call of Snapshot returns.
 	Changed() <-chan struct{}
+	// Now is the time for the origin of a command.
 	Now() time.Time
 }
 
-// Config is what the API needs.
+// Config is what the API needs. Zero values of the limits get defaults.
 type Config struct {
 	Backend      Backend
 	MaxBodyBytes int64
+	// Tokens holds the operators' tokens. Without them every request is one of
+	// an admin if Loopback is set, and refused else.
+	Tokens   *Tokens
+	Loopback bool
+	Log      *logevent.Logger
+	// Watch bounds the watch streams.
+	Watch WatchLimits
+	// Stopping is closed when the process shuts down, to end the watches.
+	Stopping <-chan struct{}
 }
 
-// Handler returns the routes of the API.
-func Handler(cfg Config) http.Handler {
-	a := &api{cfg}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/{kind}", a.list)
-	mux.HandleFunc("GET /v1/{kind}/{name}", a.get)
-	mux.HandleFunc("PUT /v1/{kind}/{name}", a.put)
-	mux.HandleFunc("DELETE /v1/{kind}/{name}", a.delete)
-	return mux
+// WatchLimits bound watch streams.
+type WatchLimits struct {
+	// Watchers is the number of streams at a time.
+	Watchers int
+	// Batch is the number of events that are written between two flushes.
+	Batch int
+	// WriteTimeout is how long the client may take to receive one batch.
+	WriteTimeout time.Duration
+	// Progress is the time after which a stream without events gets a mark.
+	Progress time.Duration
+	// RetrySpread is the longest wait before a client that lost its stream
+	// starts again. It keeps all clients of a replica from listing at once.
+	RetrySpread time.Duration
 }
 
-type api struct{ Config }
-
-// List is the answer to a list. Watching continues from Version.
-type List struct {
-	Version uint64         `json:"version"`
-	Items   []model.Object `json:"items"`
-}
+// Defaults of the limits.
+const (
+	DefaultMaxBodyBytes = 1 << 20
+	defaultWatchers     = 1024
+	defaultBatch        = 512
+	defaultWriteTimeout = 5 * time.Second
+	defaultProgress     = 5 * time.Second
+	defaultRetrySpread  = 2 * time.Second
+)
 
-func (a *api) list(w http.ResponseWriter, r *http.Request) {
-	kind := model.Kind(r.PathValue("kind"))
-	if model.New(kind) == nil {
-		answer.WriteError(w, fault.New(fault.NotFound, "resource kind %s does not exist", kind))
-		return
+func (c *Config) setDefaults() {
+	if c.MaxBodyBytes == 0 {
+		c.MaxBodyBytes = DefaultMaxBodyBytes
 	}
-	snap, err := a.Backend.ReadSnapshot(r.Context())
-	if err != nil {
-		answer.WriteError(w, err)
-		return
+	if c.Log == nil {
+		c.Log = logevent.Discard()
 	}
-	answer.WriteJSON(w, http.StatusOK, List{Version: snap.Version, Items: snap.List(kind)})
+	w := &c.Watch
+	w.Watchers = orDefault(w.Watchers, defaultWatchers)
+	w.Batch = orDefault(w.Batch, defaultBatch)
+	w.WriteTimeout = orDefault(w.WriteTimeout, defaultWriteTimeout)
+	w.Progress = orDefault(w.Progress, defaultProgress)
+	w.RetrySpread = orDefault(w.RetrySpread, defaultRetrySpread)
 }
 
-func keyOf(r *http.Request) model.Key {
-	return model.Key{Kind: model.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+func orDefault[T int | time.Duration](v, def T) T {
+	if v == 0 {
+		return def
+	}
+	return v
 }
 
-func (a *api) get(w http.ResponseWriter, r *http.Request) {
-	snap, err := a.Backend.ReadSnapshot(r.Context())
-	if err != nil {
-		answer.WriteError(w, err)
-		return
-	}
-	key := keyOf(r)
-	obj := snap.Get(key)
-	if obj == nil {
-		answer.WriteError(w, fault.New(fault.NotFound, "%s %s does not exist", key.Kind, key.Name))
-		return
-	}
-	answer.WriteJSON(w, http.StatusOK, obj)
+// Headers of the API.
+const (
+	// ChangeIDHeader and IssuedAtHeader make a change idempotent.
+	ChangeIDHeader = "Laburnum-Change-Id"
+	IssuedAtHeader = "Laburnum-Issued-At"
+	// ActorHeader names the actor where no tokens are configured.
+	ActorHeader = "Laburnum-Actor"
+	// VersionHeader is the version of the snapshot that an answer is from.
+	VersionHeader = "Laburnum-Version"
+	// RetryHeader is how long to wait before the next try, in milliseconds.
+	RetryHeader = "Laburnum-Retry-Ms"
+	// ReplayedHeader marks the first result of a change that was sent again.
+	ReplayedHeader = "Laburnum-Replayed"
+)
+
+type api struct {
+	Config
+	watchers atomic.Int64
 }
 
-func (a *api) put(w http.ResponseWriter, r *http.Request) {
-	obj, err := a.readObject(w, r)
-	if err != nil {
-		answer.WriteError(w, err)
-		return
-	}
-	origin, err := a.origin(r)
-	if err != nil {
-		answer.WriteError(w, err)
-		return
-	}
-	expected := obj.Head().Version
-	if r.URL.Query().Get("force") == "true" {
-		expected = state.AnyVersion
-	}
-	a.propose(w, r, state.Put{Origin: origin, Object: obj, Expected: expected})
+// Handler returns the routes of the API.
+func Handler(cfg Config) http.Handler {
+	cfg.setDefaults()
+	a := &api{Config: cfg}
+	mux := http.NewServeMux()
+	view := func(pattern string, h http.HandlerFunc) { mux.HandleFunc(pattern, a.allow(fixedRole(RoleViewer), h)) }
+	operate := func(pattern string, h http.HandlerFunc) { mux.HandleFunc(pattern, a.allow(fixedRole(RoleOperator), h)) }
+	view("GET /v1/watch", a.watch)
+	view("GET /v1/audit", a.audit)
+	view("GET /v1/describe/{kind}/{name}", a.describe)
+	view("GET /v1/{kind}", a.list)
+	view("GET /v1/{kind}/{name}", a.get)
+	mux.HandleFunc("PUT /v1/{kind}/{name}", a.allow(changeRole, a.put))
+	mux.HandleFunc("DELETE /v1/{kind}/{name}", a.allow(changeRole, a.delete))
+	operate("POST /v1/hosts/{name}/{verb}", a.hostVerb)
+	operate("POST /v1/waves/{name}/{verb}", a.waveVerb)
+	operate("POST /v1/jobs/{name}/{verb}", a.jobVerb)
+	mux.HandleFunc("/", a.unknownRoute)
+	return mux
 }
 
-func (a *api) delete(w http.ResponseWriter, r *http.Request) {
-	origin, err := a.origin(r)
-	if err != nil {
-		answer.WriteError(w, err)
-		return
-	}
-	expected, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-	if err != nil {
-		answer.WriteError(w, fault.Field("version", "the version of the resource", "query parameter is missing or not a number"))
-		return
-	}
-	a.propose(w, r, state.Delete{Origin: origin, Key: keyOf(r), Expected: expected})
+func (a *api) unknownRoute(w http.ResponseWriter, r *http.Request) {
+	answer.WriteError(w, fault.New(fault.NotFound, "%s %s does not exist", r.Method, r.URL.Path))
 }
 
-func (a *api) propose(w http.ResponseWriter, r *http.Request, cmd state.Command) {
-	res, err := a.Backend.Propose(r.Context(), cmd)
+// read returns a snapshot for an answer and names its version in the header.
+// It answers the request itself if there is none.
+func (a *api) read(w http.ResponseWriter, r *http.Request) *state.Snapshot {
+	snap, err := a.Backend.ReadSnapshot(r.Context())
 	if err != nil {
 		answer.WriteError(w, err)
-		return
-	}
-	if res.Err != nil {
-		answer.WriteError(w, res.Err)
-		return
-	}
-	answer.WriteJSON(w, http.StatusOK, res.Object)
-}
-
-// readObject reads the resource of a put and refuses unknown fields.
-func (a *api) readObject(w http.ResponseWriter, r *http.Request) (model.Object, error) {
-	key := keyOf(r)
-	obj := model.New(key.Kind)
-	if obj == nil {
-		return nil, fault.New(fault.NotFound, "resource kind %s does not exist", key.Kind)
+		return nil
 	}
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, a.MaxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(obj); err != nil {
-		return nil, bodyError(err, a.MaxBodyBytes)
-	}
-	if dec.More() {
-		return nil, fault.Field("body", "one JSON object", "there is more after the resource")
-	}
-	head := obj.Head()
-	if head.Name == "" {
-		head.Name = key.Name
-	}
-	if head.Key() != key {
-		return nil, fault.Field("metadata", "the kind and name of the path", "body is about %s %s", head.Kind, head.Name)
-	}
-	return obj, nil
+	w.Header().Set(VersionHeader, strconv.FormatUint(snap.Version, 10))
+	return snap
 }
 
-func bodyError(err error, limit int64) error {
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return &fault.Error{Kind: fault.TooLarge, Field: "body", Limit: strconv.FormatInt(limit, 10) + " bytes", Message: "body is too large"}
+// keyOf returns the resource of the path, or an error for an unknown kind.
+func keyOf(r *http.Request) (model.Key, *fault.Error) {
+	key := model.Key{Kind: model.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+	if model.New(key.Kind) == nil {
+		return key, fault.New(fault.NotFound, "resource kind %s does not exist", key.Kind)
 	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-		return fault.Field("body", "one JSON object", "body ends early")
-	}
-	return fault.Field("body", "one JSON object of known fields", "%s", err.Error())
+	return key, nil
 }
 
-// Headers of changes.
-const (
-	ChangeIDHeader = "Laburnum-Change-Id"
-	IssuedAtHeader = "Laburnum-Issued-At"
-	ActorHeader    = "Laburnum-Actor"
-)
-
-func (a *api) origin(r *http.Request) (state.Origin, error) {
-	o := state.Origin{Actor: r.Header.Get(ActorHeader), Source: r.RemoteAddr, Time: a.Backend.Now(), ChangeID: r.Header.Get(ChangeIDHeader)}
-	if o.ChangeID == "" {
-		return o, nil
-	}
-	issued, err := time.Parse(time.RFC3339Nano, r.Header.Get(IssuedAtHeader))
-	if err != nil {
-		return o, fault.Field(IssuedAtHeader, "RFC 3339 time", "a change ID needs the time at which it was issued")
-	}
-	o.IssuedAt = issued
-	return o, nil
-}
+// retryAfter returns a random wait in milliseconds.
+func (a *api) retryAfter() int64 { return 1 + rand.Int64N(a.Watch.RetrySpread.Milliseconds()+1) }
--- /dev/null
+++ b/internal/api/audit.go
@@ -0,0 +1,81 @@
+package api
+
+import (
+	"math"
+	"net/http"
+
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/core/explain"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// Limits of one page of the audit trail.
+const (
+	defaultAuditLimit = 100
+	maxAuditLimit     = 10_000
+)
+
+// Audit is one page of the audit trail. The next page is since the version of
+// the last entry.
+type Audit struct {
+	Version uint64             `json:"version"`
+	Entries []state.AuditEntry `json:"entries"`
+	// More tells that there are entries after the last one.
+	More bool `json:"more"`
+}
+
+func (a *api) audit(w http.ResponseWriter, r *http.Request) {
+	q, err := auditQuery(r)
+	if err != nil {
+		answer.WriteError(w, err)
+		return
+	}
+	if snap := a.read(w, r); snap != nil {
+		entries, more := snap.AuditAfter(q)
+		answer.WriteJSON(w, http.StatusOK, Audit{Version: snap.Version, Entries: entries, More: more})
+	}
+}
+
+func auditQuery(r *http.Request) (state.AuditQuery, *fault.Error) {
+	q := state.AuditQuery{Kind: model.Kind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
+	if q.Kind != "" && model.New(q.Kind) == nil {
+		return q, fault.Field("kind", "a kind of resource", "kind %q is not known", q.Kind)
+	}
+	since, err := queryNumber(r, "since", 0, math.MaxUint64)
+	if err != nil {
+		return q, err
+	}
+	limit, err := queryNumber(r, "limit", defaultAuditLimit, maxAuditLimit)
+	q.Since, q.Limit = since, int(limit)
+	if err == nil && limit == 0 {
+		err = fault.Field("limit", "1 to 10000 entries", "value is 0")
+	}
+	return q, err
+}
+
+// Description is a resource with what waits in it.
+type Description struct {
+	Version uint64         `json:"version"`
+	Object  model.Object   `json:"object"`
+	Waits   []explain.Wait `json:"waits"`
+}
+
+func (a *api) describe(w http.ResponseWriter, r *http.Request) {
+	key, err := keyOf(r)
+	if err != nil {
+		answer.WriteError(w, err)
+		return
+	}
+	snap := a.read(w, r)
+	if snap == nil {
+		return
+	}
+	obj := snap.Get(key)
+	if obj == nil {
+		answer.WriteError(w, missing(key))
+		return
+	}
+	answer.WriteJSON(w, http.StatusOK, Description{Version: snap.Version, Object: obj, Waits: explain.Waits(snap, key)})
+}
--- /dev/null
+++ b/internal/api/body.go
@@ -0,0 +1,124 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// readBody reads the whole body. A body that is too large or cut off is
+// refused before anything is decoded.
+func (a *api) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, &fault.Error{Kind: fault.TooLarge, Field: "body", Limit: "0 to " + strconv.FormatInt(a.MaxBodyBytes, 10) + " bytes", Message: "body is too large"}
+	}
+	return nil, fault.Field("body", "a complete body", "body ends early: %s", err.Error())
+}
+
+// decodeBody decodes one JSON object of known fields into v.
+func decodeBody(body []byte, v any) *fault.Error {
+	if trimmed := bytes.TrimLeft(body, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
+		return fault.Field("body", "one JSON object", "body is no JSON object")
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return fault.Field("body", "one JSON object", "there is more after the object")
+	}
+	return nil
+}
+
+// decodeError names the field of a wrong value where the decoder tells it.
+func decodeError(err error) *fault.Error {
+	if t, ok := errors.AsType[*json.UnmarshalTypeError](err); ok {
+		return fault.Field(t.Field, "a value of type "+t.Type.String(), "value is %s", t.Value)
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fault.Field("body", "one JSON object", "body ends early")
+	}
+	if _, quoted, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return fault.Field(strings.Trim(quoted, `"`), "the fields of the resource", "field is not known")
+	}
+	return fault.Field("body", "one JSON object", "%s", err.Error())
+}
+
+// decodeObject decodes the resource of a put.
+func decodeObject(key model.Key, body []byte) (model.Object, *fault.Error) {
+	obj := model.New(key.Kind)
+	if err := decodeBody(body, obj); err != nil {
+		return nil, err
+	}
+	head := obj.Head()
+	if head.Name == "" {
+		head.Name = key.Name
+	}
+	if head.Key() != key {
+		return nil, fault.Field("metadata", "the kind and name of the path", "body is about %s %s", head.Kind, head.Name)
+	}
+	return obj, nil
+}
+
+// origin returns who asks for a change. The digest covers what the client
+// sent: a change ID that comes with another request is refused.
+func (a *api) origin(r *http.Request, body []byte) (state.Origin, *fault.Error) {
+	o := state.Origin{Actor: actorOf(r), Source: r.RemoteAddr, Time: a.Backend.Now(), ChangeID: r.Header.Get(ChangeIDHeader)}
+	if o.ChangeID == "" {
+		return o, nil
+	}
+	issued, err := time.Parse(time.RFC3339Nano, r.Header.Get(IssuedAtHeader))
+	if err != nil {
+		return o, fault.Field(IssuedAtHeader, "RFC 3339 time", "a change ID needs the time at which it was issued")
+	}
+	o.IssuedAt = issued
+	digest := xxhash.New()
+	for _, part := range []string{r.Method, r.URL.Path, r.URL.RawQuery} {
+		// A Digest returns no error, here and below.
+		_, _ = digest.WriteString(part + "\n")
+	}
+	_, _ = digest.Write(body)
+	o.Digest = digest.Sum64()
+	return o, nil
+}
+
+// queryNumber returns a number of the query, or def if it is absent.
+func queryNumber(r *http.Request, name string, def, high uint64) (uint64, *fault.Error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return def, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n > high {
+		return 0, fault.Field(name, "0 to "+strconv.FormatUint(high, 10), "value is %q", text)
+	}
+	return n, nil
+}
+
+// queryFlag returns a flag of the query.
+func queryFlag(r *http.Request, name string) (bool, *fault.Error) {
+	switch text := r.URL.Query().Get(name); text {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	default:
+		return false, fault.Field(name, "true, false", "value is %q", text)
+	}
+}
--- /dev/null
+++ b/internal/api/resources.go
@@ -0,0 +1,173 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// List is the answer to a list. Watching continues from Version.
+type List struct {
+	Version uint64         `json:"version"`
+	Items   []model.Object `json:"items"`
+}
+
+// Change is the answer to a change that took effect.
+type Change struct {
+	// Version is the version of the resource after the change, or the version
+	// at which it was deleted.
+	Version uint64     `json:"version"`
+	Kind    model.Kind `json:"kind"`
+	Name    string     `json:"name"`
+	// Replayed tells that this is the first result of a change that was sent
+	// again. Object is absent then if the resource has changed since.
+	Replayed bool `json:"replayed,omitempty"`
+	// DryRun tells that nothing was changed.
+	DryRun bool         `json:"dryRun,omitempty"`
+	Object model.Object `json:"object,omitempty"`
+}
+
+func (a *api) list(w http.ResponseWriter, r *http.Request) {
+	key, fail := keyOf(r)
+	if fail != nil {
+		answer.WriteError(w, fail)
+		return
+	}
+	if snap := a.read(w, r); snap != nil {
+		answer.WriteJSON(w, http.StatusOK, List{Version: snap.Version, Items: snap.List(key.Kind)})
+	}
+}
+
+func (a *api) get(w http.ResponseWriter, r *http.Request) {
+	key, fail := keyOf(r)
+	if fail != nil {
+		answer.WriteError(w, fail)
+		return
+	}
+	snap := a.read(w, r)
+	if snap == nil {
+		return
+	}
+	obj := snap.Get(key)
+	if obj == nil {
+		answer.WriteError(w, missing(key))
+		return
+	}
+	answer.WriteJSON(w, http.StatusOK, obj)
+}
+
+func missing(key model.Key) *fault.Error {
+	return fault.New(fault.NotFound, "%s %s does not exist", key.Kind, key.Name)
+}
+
+func (a *api) put(w http.ResponseWriter, r *http.Request) {
+	cmd, err := a.putCommand(w, r)
+	if err != nil {
+		answer.WriteError(w, err)
+		return
+	}
+	a.change(w, r, cmd)
+}
+
+func (a *api) putCommand(w http.ResponseWriter, r *http.Request) (state.Command, *fault.Error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := a.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	obj, err := decodeObject(key, body)
+	if err != nil {
+		return nil, err
+	}
+	origin, err := a.origin(r, body)
+	if err != nil {
+		return nil, err
+	}
+	expected, err := expectedVersion(r, obj.Head().Version)
+	return state.Put{Origin: origin, Object: obj, Expected: expected}, err
+}
+
+// expectedVersion is the version that a change is based on.
+func expectedVersion(r *http.Request, version uint64) (uint64, *fault.Error) {
+	force, err := queryFlag(r, "force")
+	if force {
+		return state.AnyVersion, err
+	}
+	if version == state.AnyVersion {
+		return 0, fault.Field("metadata.version", "0 to "+strconv.FormatUint(state.AnyVersion-1, 10), "value is %d", version)
+	}
+	return version, err
+}
+
+func (a *api) delete(w http.ResponseWriter, r *http.Request) {
+	cmd, err := a.deleteCommand(r)
+	if err != nil {
+		answer.WriteError(w, err)
+		return
+	}
+	a.change(w, r, cmd)
+}
+
+func (a *api) deleteCommand(r *http.Request) (state.Command, *fault.Error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	origin, err := a.origin(r, nil)
+	if err != nil {
+		return nil, err
+	}
+	version, err := queryNumber(r, "version", 0, state.AnyVersion-1)
+	if err != nil {
+		return nil, err
+	}
+	expected, err := expectedVersion(r, version)
+	if err == nil && expected == 0 {
+		err = fault.Field("version", "the version of the resource", "the query has neither version nor force")
+	}
+	return state.Delete{Origin: origin, Key: key, Expected: expected}, err
+}
+
+// change has a command carried out, or evaluated for a dry run, and answers.
+func (a *api) change(w http.ResponseWriter, r *http.Request, cmd state.Command) {
+	dry, fail := queryFlag(r, "dryRun")
+	if fail != nil {
+		answer.WriteError(w, fail)
+		return
+	}
+	if dry {
+		if snap := a.read(w, r); snap != nil {
+			writeChange(w, snap.Evaluate(cmd), true)
+		}
+		return
+	}
+	res, err := a.Backend.Propose(r.Context(), cmd)
+	if err != nil {
+		answer.WriteError(w, err)
+		return
+	}
+	writeChange(w, res, false)
+}
+
+func writeChange(w http.ResponseWriter, res state.Result, dry bool) {
+	if res.Replayed {
+		w.Header().Set(ReplayedHeader, "true")
+	}
+	if res.Err != nil {
+		answer.WriteError(w, res.Err)
+		return
+	}
+	if !dry {
+		w.Header().Set(VersionHeader, strconv.FormatUint(res.Version, 10))
+	}
+	answer.WriteJSON(w, http.StatusOK, Change{
+		Version: res.Version, Kind: res.Key.Kind, Name: res.Key.Name, Replayed: res.Replayed, DryRun: dry, Object: res.Object,
+	})
+}
--- a/internal/core/model/meta.go
+++ b/internal/core/model/meta.go
@@ -133,3 +133,13 @@
 	ReasonNoBudget          Reason = "pool_has_no_budget"
 	ReasonOtherWave         Reason = "held_by_other_wave"
 )
+
+// Reasons lists every reason but ReasonNone.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonBudget, ReasonBudgetBroken, ReasonRackSurvival, ReasonZoneSurvival, ReasonSurgeReserve, ReasonParallelLimit,
+		ReasonWorkInFlight, ReasonStraggler, ReasonRebooting, ReasonReturning, ReasonPaused, ReasonCorrelatedFailure,
+		ReasonEarlierZone, ReasonHealthUnknown, ReasonDwell, ReasonNoSpare, ReasonNoCapacity, ReasonNeverFits, ReasonQuota,
+		ReasonQuarantined, ReasonPreempting, ReasonBackoff, ReasonNoBudget, ReasonOtherWave,
+	}
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -26,7 +26,7 @@
 	replica := control.New(control.Config{ID: 1, QueueLength: 1024, Log: log})
 	group.Go(func() error { return replica.Run(ctx) })
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", api.Handler(api.Config{Backend: replica, MaxBodyBytes: 1 << 20}))
+	mux.Handle("/v1/", api.Handler(api.Config{Backend: replica, MaxBodyBytes: 1 << 20, Loopback: true}))
 	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: replica}))
 	controlAddr, err := serve(ctx, group, "127.0.0.1:7101", mux)
 	if err != nil {
