--- /dev/null
+++ b/internal/core/fleet/checker_test.go
@@ -0,0 +1,166 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// checker looks at every command from outside and counts by itself. It knows
+// the machines, so it does not rely on what the state believes of a health.
+type checker struct {
+	w *world
+	// reboots counts the reboots of a host by a wave.
+	reboots map[string]int
+	faults  []string
+}
+
+func newChecker(w *world) *checker {
+	c := &checker{w: w, reboots: make(map[string]int)}
+	w.seen = c.check
+	return c
+}
+
+func (c *checker) fail(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) check(_ state.Command, before, after *state.Snapshot) {
+	for _, obj := range after.List(model.KindHost) {
+		host := obj.(*model.Host)
+		old, ok := before.Get(host.Key()).(*model.Host)
+		if !ok || old == host {
+			continue
+		}
+		c.checkHost(old, host)
+		if old.Status.Phase == model.HostActive && host.Status.Phase == model.HostDraining {
+			c.checkBudgets(host, after)
+		}
+	}
+	c.checkWaves(before, after)
+}
+
+func (c *checker) checkHost(old, host *model.Host) {
+	if host.Status.Epoch < old.Status.Epoch {
+		c.fail("epoch of %s goes back from %d to %d", host.Name, old.Status.Epoch, host.Status.Epoch)
+	}
+	if host.Version <= old.Version {
+		c.fail("version of %s goes from %d to %d", host.Name, old.Version, host.Version)
+	}
+	ended := old.Status.Stop != nil && host.Status.Stop == nil
+	if ended && host.Status.Epoch == old.Status.Epoch {
+		c.fail("%s returns to service with its old epoch %d", host.Name, host.Status.Epoch)
+	}
+	if host.Spec.Pool != old.Spec.Pool {
+		stop := old.Status.Stop
+		if old.Status.Phase != model.HostDrained || stop == nil || stop.Action != model.StopMove || stop.TargetPool != host.Spec.Pool {
+			c.fail("%s changes its pool from %s to %s while %s", host.Name, old.Spec.Pool, host.Spec.Pool, old.Status.Phase)
+		}
+		if host.Status.Epoch != old.Status.Epoch+1 {
+			c.fail("%s changes its pool without a new epoch", host.Name)
+		}
+	}
+	if old.Status.Phase == model.HostDraining && host.Status.Phase == model.HostDrained {
+		c.checkDrained(host)
+	}
+	if old.Status.Phase == model.HostDrained && host.Status.Phase == model.HostRebooting && host.Status.Stop.Wave != "" {
+		c.checkReboot(host)
+	}
+}
+
+func (c *checker) checkReboot(host *model.Host) {
+	name := host.Status.Stop.Wave
+	c.reboots[name+"/"+host.Name]++
+	if wave, ok := c.w.s.Get(model.Key{Kind: model.KindWave, Name: name}).(*model.Wave); ok && slices.Contains(wave.Status.Done, host.Name) {
+		c.fail("wave %s reboots %s again", name, host.Name)
+	}
+}
+
+func (c *checker) checkDrained(host *model.Host) {
+	if m := c.w.machines[host.Name]; m.up && m.inFlight > 0 {
+		c.fail("%s counts as drained with %d in flight", host.Name, m.inFlight)
+	}
+}
+
+// checkBudgets counts the pool host by host. A machine that was last up more
+// than the bound ago cannot be healthy capacity, whatever a report said.
+func (c *checker) checkBudgets(stopped *model.Host, after *state.Snapshot) {
+	var left []*model.Host
+	stops := 0
+	for _, obj := range after.List(model.KindHost) {
+		h := obj.(*model.Host)
+		if h.Spec.Pool != stopped.Spec.Pool {
+			continue
+		}
+		if h.Status.Stop != nil {
+			stops++
+		}
+		if h.Status.Phase == model.HostActive && c.w.now.Sub(c.w.machines[h.Name].healthyAt) <= 10*time.Second {
+			left = append(left, h)
+		}
+	}
+	budgets := 0
+	for _, obj := range after.List(model.KindBudget) {
+		b := obj.(*model.Budget)
+		if b.Spec.Pool != stopped.Spec.Pool {
+			continue
+		}
+		budgets++
+		if stops > b.Spec.MaxPlannedStops {
+			c.fail("pool %s has %d planned stops of %d after %s", b.Spec.Pool, stops, b.Spec.MaxPlannedStops, stopped.Name)
+		}
+		c.checkLeft(b, stopped, left)
+	}
+	if budgets == 0 {
+		c.fail("%s is stopped in pool %s without a budget", stopped.Name, stopped.Spec.Pool)
+	}
+}
+
+func (c *checker) checkLeft(b *model.Budget, stopped *model.Host, left []*model.Host) {
+	if len(left) < b.Spec.MinHealthy {
+		c.fail("pool %s has %d healthy hosts of %d after the stop of %s", b.Spec.Pool, len(left), b.Spec.MinHealthy, stopped.Name)
+	}
+	for _, gone := range left {
+		rack, zone := 0, 0
+		for _, h := range left {
+			if h.Spec.Zone != gone.Spec.Zone {
+				zone++
+			}
+			if h.Spec.Zone != gone.Spec.Zone || h.Spec.Rack != gone.Spec.Rack {
+				rack++
+			}
+		}
+		if b.Spec.SurviveRack && rack < b.Spec.MinHealthy {
+			c.fail("pool %s does not survive the loss of rack %s after the stop of %s", b.Spec.Pool, gone.Spec.Rack, stopped.Name)
+		}
+		if b.Spec.SurviveZone && zone < b.Spec.MinHealthy {
+			c.fail("pool %s does not survive the loss of %s after the stop of %s", b.Spec.Pool, gone.Spec.Zone, stopped.Name)
+		}
+	}
+}
+
+func (c *checker) checkWaves(before, after *state.Snapshot) {
+	for _, obj := range after.List(model.KindWave) {
+		wave := obj.(*model.Wave)
+		old, ok := before.Get(wave.Key()).(*model.Wave)
+		if !ok || old == wave {
+			continue
+		}
+		if n := len(old.Status.Done); len(wave.Status.Done) < n || !slices.Equal(wave.Status.Done[:n], old.Status.Done) {
+			c.fail("wave %s loses hosts that are done", wave.Name)
+		}
+		seen := make(map[string]bool)
+		for _, host := range wave.Status.Done {
+			if seen[host] {
+				c.fail("wave %s has %s twice", wave.Name, host)
+			}
+			seen[host] = true
+			if c.reboots[wave.Name+"/"+host] == 0 && wave.Spec.Action == model.StopReboot {
+				c.fail("wave %s has %s done without a reboot", wave.Name, host)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/wave_test.go
@@ -0,0 +1,322 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/core/fleet"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// site is a pool of 12 hosts with a budget, reported once.
+func site(budget model.BudgetSpec) (*world, *fleet.Planner) {
+	w := newWorld()
+	w.pool("a", nil)
+	w.budget("a", budget)
+	w.hosts("a", 12)
+	w.report(w.s.Snapshot())
+	return w, fleet.NewPlanner(nil)
+}
+
+// until plays rounds until done, at most limit seconds.
+func (w *world) until(pl *fleet.Planner, limit int, done func() bool) bool {
+	for range limit {
+		if done() {
+			return true
+		}
+		w.round(pl, fleet.Input{})
+	}
+	return done()
+}
+
+func (w *world) finished(name string) func() bool {
+	return func() bool { return w.waveOf(name).Status.Phase == model.WaveFinished }
+}
+
+func (w *world) inPhase(phase model.WavePhase) func() bool {
+	return func() bool { return w.waveOf("w").Status.Phase == phase }
+}
+
+func (w *world) stops() int {
+	n := 0
+	for _, name := range w.names {
+		if w.host(name).Status.Stop != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func reasons(waits []fleet.Wait) map[string]model.Reason {
+	byHost := make(map[string]model.Reason)
+	for _, w := range waits {
+		byHost[w.Host] = w.Reason
+	}
+	return byHost
+}
+
+// Guards against a wave that jumps between zones or racks.
+func TestWaveGoesByZoneThenRack(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel = 2 })
+	require.True(t, w.until(pl, 3600, w.finished("w")))
+	done := w.waveOf("w").Status.Done
+	require.Len(t, done, 12)
+	last := ""
+	for _, name := range done {
+		zone := w.host(name).Spec.Zone
+		require.GreaterOrEqual(t, zone, last)
+		last = zone
+	}
+}
+
+// Guards against a host that is left out without a reason, or with a wrong one.
+func TestEveryHostLeftOutHasAReason(t *testing.T) {
+	tests := []struct {
+		name   string
+		budget *model.BudgetSpec
+		wave   func(*model.WaveSpec)
+		before func(*world)
+		loads  []fleet.Load
+		want   map[model.Reason]int
+	}{
+		{
+			"parallel limit", &model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 9}, func(s *model.WaveSpec) { s.MaxParallel = 3 }, nil, nil,
+			map[model.Reason]int{model.ReasonParallelLimit: 1, model.ReasonEarlierZone: 8},
+		},
+		{
+			"planned stops", &model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 2}, nil, nil, nil,
+			map[model.Reason]int{model.ReasonBudget: 2, model.ReasonEarlierZone: 8},
+		},
+		{
+			"minimum", &model.BudgetSpec{MinHealthy: 11, MaxPlannedStops: 9}, nil, nil, nil,
+			map[model.Reason]int{model.ReasonBudget: 3, model.ReasonEarlierZone: 8},
+		},
+		{
+			"rack loss", &model.BudgetSpec{MinHealthy: 8, MaxPlannedStops: 9, SurviveRack: true}, nil, nil, nil,
+			map[model.Reason]int{model.ReasonRackSurvival: 4, model.ReasonEarlierZone: 8},
+		},
+		{
+			"zone loss", &model.BudgetSpec{MinHealthy: 8, MaxPlannedStops: 9, SurviveZone: true}, nil, nil, nil,
+			map[model.Reason]int{model.ReasonZoneSurvival: 4, model.ReasonEarlierZone: 8},
+		},
+		{
+			"no budget", nil, nil, nil, nil,
+			map[model.Reason]int{model.ReasonNoBudget: 4, model.ReasonEarlierZone: 8},
+		},
+		{"broken by failures", &model.BudgetSpec{MinHealthy: 12, MaxPlannedStops: 9}, nil, func(w *world) {
+			w.machines["a-011"].up = false
+		}, nil, map[model.Reason]int{model.ReasonBudgetBroken: 4, model.ReasonEarlierZone: 7, model.ReasonHealthUnknown: 1}},
+		{
+			"paused", &model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 9}, func(s *model.WaveSpec) { s.Paused = true }, nil, nil,
+			map[model.Reason]int{model.ReasonPaused: 12},
+		},
+		{
+			"surge reserve", &model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 9}, nil, nil,
+			[]fleet.Load{{EntryHost: "e", Service: "a", InFlight: 24}},
+			// The mean is 3 hosts; at weight 0.5 and factor 5, 9 of 12 stay.
+			map[model.Reason]int{model.ReasonSurgeReserve: 1, model.ReasonEarlierZone: 8},
+		},
+		{"other stop", &model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 9}, nil, func(w *world) {
+			h := w.host("a-000")
+			w.do(state.HostStep{Origin: w.origin(), Host: h.Name, Expected: h.Version, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopDrain}})
+		}, nil, map[model.Reason]int{model.ReasonOtherWave: 1, model.ReasonEarlierZone: 8}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld()
+			w.pool("a", nil)
+			if test.budget != nil {
+				w.budget("a", *test.budget)
+			}
+			w.hosts("a", 12)
+			w.report(w.s.Snapshot())
+			if test.before != nil {
+				test.before(w)
+				w.report(w.s.Snapshot())
+			}
+			w.wave("w", []string{"a"}, test.wave)
+			w.plan(fleet.NewPlanner(nil), fleet.Input{})
+			for i := range test.loads {
+				test.loads[i].Observed = w.now
+			}
+			res := fleet.Plan(w.s.Snapshot(), fleet.Input{Loads: test.loads}, w.now)
+			got := make(map[model.Reason]int)
+			for _, wait := range res.Waits {
+				if wait.Wave == "w" {
+					got[wait.Reason]++
+				}
+			}
+			require.Equal(t, test.want, got)
+		})
+	}
+}
+
+// Guards against a formula of the reserve that differs from the documented one.
+func TestReserveFollowsRolloutWeight(t *testing.T) {
+	for _, test := range []struct {
+		mean, weight float64
+		want         int
+	}{{2, 1, 2}, {2, 0, 10}, {2, 0.5, 6}, {1.5, 0.75, 3}, {0, 0, 0}} {
+		require.Equal(t, test.want, fleet.Reserve(test.mean, model.PoolSpec{RolloutWeight: test.weight, SurgeFactor: 5}))
+	}
+}
+
+// Guards against a pool whose expected peak exceeds it and whose wave therefore
+// never starts.
+func TestReserveAbovePoolLetsOneHostGo(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, nil)
+	w.plan(pl, fleet.Input{})
+	w.plan(pl, fleet.Input{Loads: []fleet.Load{{EntryHost: "e", Service: "a", InFlight: 60, Observed: w.now}}})
+	require.Equal(t, 1, w.stops())
+}
+
+// Guards against a wave that goes on while hosts fail together, and against
+// one that has to be resumed by hand.
+func TestWavePausesOnCorrelatedFailuresAndResumes(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel, s.PauseOnFailures, s.FailureWindowSeconds = 1, 2, 60 })
+	w.round(pl, fleet.Input{})
+	w.machines["a-010"].up = false
+	w.round(pl, fleet.Input{})
+	require.Equal(t, model.WaveRunning, w.waveOf("w").Status.Phase)
+	w.machines["a-011"].up = false
+	require.True(t, w.until(pl, 5, w.inPhase(model.WavePaused)))
+	require.Equal(t, model.ReasonCorrelatedFailure, w.waveOf("w").Status.Reason)
+	require.True(t, w.until(pl, 120, func() bool { return w.stops() == 0 }), "a stop in progress ends")
+	for range 60 {
+		w.round(pl, fleet.Input{})
+		require.Zero(t, w.stops(), "no stop starts while the wave is paused")
+	}
+	w.machines["a-010"].up, w.machines["a-011"].up = true, true
+	require.True(t, w.until(pl, 5, w.inPhase(model.WaveRunning)))
+	require.True(t, w.until(pl, 3600, w.finished("w")))
+}
+
+// Guards against hosts that never heal and hold a wave for ever.
+func TestDeadHostsDoNotHoldAWave(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.PauseOnFailures, s.StragglerLimitSeconds = 2, 60 })
+	w.machines["a-000"].up, w.machines["a-011"].up = false, false
+	require.True(t, w.until(pl, 3600, w.finished("w")))
+	status := w.waveOf("w").Status
+	require.Len(t, status.Done, 10)
+	require.Equal(t, []string{"a-000", "a-011"}, status.Skipped)
+	require.Equal(t, 12, status.Total)
+}
+
+// Guards against a drain that waits for ever for work that does not end, and a
+// status that does not say for which host.
+func TestStragglerIsCheckpointedAtTheLimit(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel, s.StragglerLimitSeconds = 1, 30 })
+	w.machines["a-000"].inFlight = 1000
+	w.until(pl, 20, func() bool { return false })
+	require.Equal(t, model.HostDraining, w.host("a-000").Status.Phase)
+	require.False(t, w.host("a-000").Status.Stop.Checkpoint)
+	waiting := w.waveOf("w").Status.Waiting
+	require.Equal(t, "a-000", waiting[0].Host)
+	require.Equal(t, model.ReasonWorkInFlight, waiting[0].Reason)
+	require.True(t, w.until(pl, 15, func() bool { return w.host("a-000").Status.Phase != model.HostDraining }))
+}
+
+// Guards against a host that dies in its reboot and keeps the planned stop.
+func TestHostThatNeverReturnsGivesItsStopBack(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 1})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.StragglerLimitSeconds = 60 })
+	w.rebootTime = 24 * time.Hour
+	require.True(t, w.until(pl, 60, func() bool { return w.host("a-000").Status.Phase == model.HostRebooting }))
+	w.rebootTime = 30 * time.Second
+	require.True(t, w.until(pl, 3600, w.finished("w")))
+	require.Equal(t, []string{"a-000"}, w.waveOf("w").Status.Skipped)
+	require.Len(t, w.waveOf("w").Status.Done, 11)
+}
+
+// Guards against a maintenance that breaks its hosts and takes the whole pool.
+func TestWaveThatBreaksItsHostsPauses(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel, s.PauseOnFailures = 2, 2 })
+	w.rebootTime = 24 * time.Hour
+	require.True(t, w.until(pl, 1200, w.inPhase(model.WavePaused)))
+	down := 0
+	for _, m := range w.machines {
+		if !m.up {
+			down++
+		}
+	}
+	require.Equal(t, 2, down)
+}
+
+// Guards against a host that a wave misses or takes twice because it joins by a
+// move, and against new hosts that are rebooted for nothing.
+func TestHostsThatJoinDuringAWave(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.pool("b", nil)
+	w.budget("b", model.BudgetSpec{MinHealthy: 0, MaxPlannedStops: 4})
+	w.hosts("b", 2)
+	w.report(w.s.Snapshot())
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel = 1 })
+	w.round(pl, fleet.Input{})
+	w.advance(time.Second)
+	w.hosts("a", 1)
+	moved, created := "b-012", "a-014"
+	h := w.host(moved)
+	require.Nil(t, w.do(state.HostStep{Origin: w.origin(), Host: moved, Expected: h.Version, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopMove, TargetPool: "a"}}).Err)
+	require.True(t, w.until(pl, 3600, w.finished("w")))
+	done := w.waveOf("w").Status.Done
+	require.Contains(t, done, moved)
+	require.NotContains(t, done, created)
+	require.Len(t, done, 13)
+}
+
+// Guards against two waves that stop hosts of one pool side by side.
+func TestSecondWaveWaitsForTheFirst(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, nil)
+	w.round(pl, fleet.Input{})
+	w.wave("x", []string{"a"}, nil)
+	w.until(pl, 5, func() bool { return false })
+	require.Empty(t, w.waveOf("x").Status.Stopped)
+	require.Contains(t, reasons(pl.Waits()), "a-011")
+	require.True(t, w.until(pl, 7200, w.finished("x")))
+	first, second := w.waveOf("w").Status, w.waveOf("x").Status
+	require.True(t, first.Finished.Before(second.Finished))
+	require.Len(t, second.Done, 12)
+}
+
+// Guards against an incremental planner that decides differently from a full
+// plan of the same snapshot.
+func TestIncrementalPlanEqualsFullPlan(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 6, MaxPlannedStops: 3, SurviveRack: true})
+	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel = 3 })
+	for i := range 600 {
+		w.advance(time.Second)
+		if i%50 == 10 {
+			w.machines["a-007"].up = !w.machines["a-007"].up
+		}
+		w.report(w.s.Snapshot())
+		pl.Sync(w.s.Snapshot())
+		full := fleet.Plan(w.s.Snapshot(), fleet.Input{}, w.now)
+		part := pl.Plan(fleet.Input{}, w.now)
+		require.Equal(t, hostSteps(full), hostSteps(part), "round %d", i)
+		require.Equal(t, reasons(full.Waits), reasons(pl.Waits()), "round %d", i)
+		for _, cmd := range part.Commands {
+			w.do(cmd)
+		}
+		w.platform()
+	}
+}
+
+func hostSteps(res fleet.Result) []state.Command {
+	var steps []state.Command
+	for _, cmd := range res.Commands {
+		if c, ok := cmd.(state.HostStep); ok {
+			steps = append(steps, c)
+		}
+	}
+	return steps
+}
--- a/internal/core/state/host.go
+++ b/internal/core/state/host.go
@@ -165,6 +165,9 @@
 			return fault.New(fault.Conflict, "host %s is %s, only the stop of a failed host can be cancelled then", h.Name, h.Status.Phase)
 		}
 		s.setUnknown(h)
+		// A failed return counts as a failure of now, so that a wave that
+		// breaks its hosts pauses.
+		h.Status.HealthSince = s.now
 	}
 	s.endStop(h)
 	return nil
@@ -274,6 +277,9 @@
 	if h.Status.LastReport.Before(h.Status.Stop.Since.Add(DrainSettle)) {
 		return blocked(model.ReasonWorkInFlight, "host %s has not been reported since %s after the start of the drain", h.Name, DrainSettle)
 	}
+	if h.Status.Health == model.HealthUnknown {
+		return blocked(model.ReasonHealthUnknown, "host %s is not reported, its work in flight is not known", h.Name)
+	}
 	if h.Status.InFlight > 0 {
 		return blocked(model.ReasonWorkInFlight, "host %s has %d tasks and requests in flight", h.Name, h.Status.InFlight)
 	}
