--- /dev/null
+++ b/internal/entry/control_fake_test.go
@@ -0,0 +1,244 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "laburnumdock/gen/laburnumdock/v1"
+	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/codec"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+)
+
+// fakeControl stands for the control replicas: the state that they share.
+type fakeControl struct {
+	t  testing.TB
+	mu sync.Mutex
+	// The rest is guarded by mu.
+	version   uint64
+	compacted uint64
+	objects   map[model.Key]model.Object
+	events    []*pb.WatchResponse
+	records   map[string]*pb.RequestRecord
+	// loseAnswers is the number of RecordRequests calls that take effect but
+	// whose answers are lost; loseCalls of those that have no effect.
+	loseAnswers, loseCalls int
+	taken                  map[pb.RequestPhase]int
+	reports                []*pb.ReportEndpointsRequest
+	lists                  int
+}
+
+// fakeReplica is one replica with its own address and faults.
+type fakeReplica struct {
+	laburnumdockv1connect.UnimplementedControlServiceHandler
+	*fakeControl
+	url    string
+	server *http.Server
+	// limit is the newest version that this replica has seen; 0 means all. It
+	// is guarded by mu, as is the rest.
+	limit uint64
+	// isolated cuts it off from the others.
+	isolated bool
+	// marks makes it send progress marks; mute stops everything it sends.
+	marks, mute bool
+	watches     int
+}
+
+func newFakeControl(t testing.TB) *fakeControl {
+	return &fakeControl{
+		t: t, objects: make(map[model.Key]model.Object), records: make(map[string]*pb.RequestRecord),
+		taken: make(map[pb.RequestPhase]int),
+	}
+}
+
+func (f *fakeControl) start() *fakeReplica {
+	r := &fakeReplica{fakeControl: f}
+	r.serve(listen(f.t))
+	return r
+}
+
+func (r *fakeReplica) serve(l net.Listener) {
+	mux := http.NewServeMux()
+	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(r))
+	r.url = "http://" + l.Addr().String()
+	r.server = serveHTTP(r.t, l, mux)
+}
+
+// restart cuts all connections and serves again at the same address.
+func (r *fakeReplica) restart() {
+	require.NoError(r.t, r.server.Close())
+	var l net.Listener
+	require.Eventually(r.t, func() bool {
+		var err error
+		l, err = net.Listen("tcp", strings.TrimPrefix(r.url, "http://"))
+		return err == nil
+	}, patience, time.Millisecond)
+	r.serve(l)
+}
+
+// with runs change under the lock.
+func (f *fakeControl) with(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeControl) put(obj model.Object) {
+	obj.SetDefaults()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	obj.Head().Version = f.version
+	f.objects[obj.Head().Key()] = obj
+	f.events = append(f.events, f.message(obj))
+}
+
+func (f *fakeControl) message(obj model.Object) *pb.WatchResponse {
+	data, err := codec.EncodeObject(obj)
+	require.NoError(f.t, err)
+	head := obj.Head()
+	return &pb.WatchResponse{Version: head.Version, Kind: string(head.Kind), Name: head.Name, Object: data}
+}
+
+func putConfig(f *fakeControl, value string) {
+	f.put(&model.Config{Meta: model.Meta{Kind: model.KindConfig, Name: "c"}, Spec: model.ConfigSpec{Values: map[string]string{"v": value}}})
+}
+
+func (r *fakeReplica) visible() uint64 {
+	if r.limit > 0 {
+		return min(r.limit, r.version)
+	}
+	return r.version
+}
+
+// Watch implements the ControlService.
+func (r *fakeReplica) Watch(ctx context.Context, req *connect.Request[pb.WatchRequest], stream *connect.ServerStream[pb.WatchResponse]) error {
+	at := req.Msg.GetFromVersion()
+	r.mu.Lock()
+	r.watches++
+	if req.Msg.GetListFirst() {
+		r.lists++
+	} else if at < r.compacted {
+		r.mu.Unlock()
+		return answer.ConnectError(fault.New(fault.Compacted, "version %d is gone", at))
+	}
+	var out []*pb.WatchResponse
+	if req.Msg.GetListFirst() {
+		at = r.visible()
+		for _, obj := range r.objects {
+			if obj.Head().Version <= at {
+				out = append(out, r.message(obj))
+			}
+		}
+		out = append(out, &pb.WatchResponse{Version: at, Listed: true})
+	}
+	r.mu.Unlock()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		for _, msg := range out {
+			if err := stream.Send(msg); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		out, at = r.after(at)
+	}
+}
+
+func (r *fakeReplica) after(at uint64) ([]*pb.WatchResponse, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mute {
+		return nil, at
+	}
+	var out []*pb.WatchResponse
+	for _, e := range r.events {
+		if e.GetVersion() > at && e.GetVersion() <= r.visible() {
+			out = append(out, e)
+			at = e.GetVersion()
+		}
+	}
+	if r.marks {
+		out = append(out, &pb.WatchResponse{Version: r.visible()})
+	}
+	return out, at
+}
+
+// RecordRequests implements the ControlService.
+func (r *fakeReplica) RecordRequests(_ context.Context, req *connect.Request[pb.RecordRequestsRequest]) (*connect.Response[pb.RecordRequestsResponse], error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loseCalls > 0 {
+		r.loseCalls--
+		return nil, answer.ConnectError(fault.New(fault.Unavailable, "no leader"))
+	}
+	res := &pb.RecordRequestsResponse{}
+	for _, rec := range req.Msg.GetRecords() {
+		res.Results = append(res.Results, r.record(rec))
+	}
+	if r.loseAnswers > 0 {
+		r.loseAnswers--
+		return nil, answer.ConnectError(fault.New(fault.OutcomeUnknown, "answer is lost"))
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (f *fakeControl) record(rec *pb.RequestRecord) *pb.RequestResult {
+	known := f.records[rec.GetRequestId()]
+	res := &pb.RequestResult{RequestId: rec.GetRequestId()}
+	own := known != nil && known.GetEntryHost() == rec.GetEntryHost() && known.GetToken() == rec.GetToken()
+	switch {
+	case known != nil && !bytes.Equal(known.GetDigest(), rec.GetDigest()):
+		res.ErrorKind = string(fault.RequestIDReused)
+	case rec.GetPhase() == pb.RequestPhase_REQUEST_PHASE_BEGIN && known != nil && !own:
+		res.Recorded = known
+		if known.GetPhase() == pb.RequestPhase_REQUEST_PHASE_BEGIN {
+			res.ErrorKind = string(fault.InProgress)
+		}
+	case rec.GetPhase() == pb.RequestPhase_REQUEST_PHASE_BEGIN && known != nil:
+		// The same begin again.
+	case rec.GetPhase() != pb.RequestPhase_REQUEST_PHASE_BEGIN && !own:
+		res.ErrorKind = string(fault.Fenced)
+	case rec.GetPhase() == pb.RequestPhase_REQUEST_PHASE_DID_NOT_RUN:
+		f.taken[rec.GetPhase()]++
+		delete(f.records, rec.GetRequestId())
+	default:
+		f.taken[rec.GetPhase()]++
+		f.records[rec.GetRequestId()] = rec
+	}
+	return res
+}
+
+// ReadIndex implements the ControlService.
+func (r *fakeReplica) ReadIndex(context.Context, *connect.Request[pb.ReadIndexRequest]) (*connect.Response[pb.ReadIndexResponse], error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isolated {
+		return nil, answer.ConnectError(fault.New(fault.Unavailable, "no quorum"))
+	}
+	return connect.NewResponse(&pb.ReadIndexResponse{Index: r.version}), nil
+}
+
+// ReportEndpoints implements the ControlService.
+func (r *fakeReplica) ReportEndpoints(_ context.Context, req *connect.Request[pb.ReportEndpointsRequest]) (*connect.Response[pb.ReportEndpointsResponse], error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports = append(r.reports, req.Msg)
+	return connect.NewResponse(&pb.ReportEndpointsResponse{}), nil
+}
--- a/internal/entry/controlclient.go
+++ b/internal/entry/controlclient.go
@@ -38,24 +38,29 @@
 
 var (
 	errLagging = errors.New("replica is behind the configuration in force")
+	errCutOff  = errors.New("replica is cut off from the others")
 	errEnded   = errors.New("stream ended")
 )
 
 // watchedKinds are the resources that an entry host follows.
 var watchedKinds = []string{string(model.KindPool), string(model.KindBudget), string(model.KindHost), string(model.KindConfig)}
 
+// defaultClient returns a client that detects connections that went silent.
+func defaultClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols: protocols, IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: controlPing, PingTimeout: controlPing},
+	}}
+}
+
 // controlClients are the clients of the control replicas, in the order of the
 // settings.
 func controlClients(cfg Config) []laburnumdockv1connect.ControlServiceClient {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
 	var list []laburnumdockv1connect.ControlServiceClient
 	for _, address := range cfg.Controls {
-		transport := &http.Transport{
-			Protocols: protocols, IdleConnTimeout: idleTimeout,
-			HTTP2: &http.HTTP2Config{SendPingTimeout: controlPing, PingTimeout: controlPing},
-		}
-		list = append(list, laburnumdockv1connect.NewControlServiceClient(&http.Client{Transport: transport}, address))
+		list = append(list, laburnumdockv1connect.NewControlServiceClient(cfg.Client, address))
 	}
 	return list
 }
@@ -130,6 +135,7 @@
 		return false, err
 	}
 	defer stream.Close()
+	go c.watchFreshness(ctx, index, cancel)
 	if !c.relist {
 		// A stream without changes may stay silent unless the replica sends
 		// progress marks; HTTP/2 pings watch the connection below it.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,8 +19,6 @@
 // Config is what an entry host needs. Fields left at zero get their default.
 type Config struct {
 	Name string
-	// Version is the build, for /version.
-	Version string
 	// Peers are the base addresses of the other entry hosts.
 	Peers []string
 	// Controls are the base addresses of the control replicas. Without any,
@@ -39,8 +37,11 @@
 	// BalancerDelay is how long the load balancer needs to notice that the
 	// host is not ready; DrainTimeout bounds the wait for requests in flight.
 	BalancerDelay, DrainTimeout time.Duration
-	Log                         *logevent.Logger
-	Metrics                     metrics.Registry
+	// Client calls peers and control replicas. The default speaks HTTP/2
+	// without TLS.
+	Client  *http.Client
+	Log     *logevent.Logger
+	Metrics metrics.Registry
 }
 
 // Defaults of the configuration.
@@ -64,6 +65,9 @@
 	orDefault(&c.MaxDeadline, defaultMaxDeadline)
 	orDefault(&c.SettleTime, defaultSettleTime)
 	orDefault(&c.DrainTimeout, defaultDrainTimeout)
+	if c.Client == nil {
+		c.Client = defaultClient()
+	}
 	if c.Log == nil {
 		c.Log = logevent.Discard()
 	}
@@ -147,12 +151,18 @@
 	return err
 }
 
-// Handler returns the routes for callers, endpoints, peers and operators.
+// PeerHandler returns the routes for other entry hosts.
+func (h *Host) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	h.routePeers(mux)
+	return mux
+}
+
+// Handler returns the routes for callers, endpoints and operators.
 func (h *Host) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve)
 	mux.HandleFunc("POST /v1/announce", h.announce)
-	h.routePeers(mux)
 	h.routeHealth(mux)
 	return mux
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"laburnumdock/internal/core/dispatch"
 	"laburnumdock/internal/core/fault"
@@ -18,11 +19,14 @@
 	header      http.Header
 	remote      string
 	body        []byte
-	// holder and digest are set for a request that must not be repeated.
-	holder string
-	digest []byte
+	// These are set for a request that must not be repeated.
+	entryHost, token string
+	digest           []byte
 	// done has room for the one answer.
 	done chan outcome
+	// taken is set by whoever comes first: the control loop when it starts with
+	// the request, or its sender when the loop has ended.
+	taken atomic.Bool
 
 	attempts []*attempt
 	// recorded is the answer that came with a record of an earlier try.
@@ -75,6 +79,9 @@
 
 func (m *arriveMessage) handle(l *loop) {
 	x := m.exchange
+	if !x.taken.CompareAndSwap(false, true) {
+		return
+	}
 	l.exchanges[x.request.ID] = x
 	load := l.load(x.request.Service)
 	load.arrived++
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -6,73 +6,36 @@
 	"time"
 
 	"laburnumdock/internal/answer"
-	"laburnumdock/internal/metric"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/process"
 )
 
 func (h *Host) routeHealth(mux *http.ServeMux) {
-	mux.HandleFunc("GET /healthz", h.healthz)
-	mux.HandleFunc("GET /readyz", h.readyz)
-	mux.HandleFunc("GET /version", h.version)
+	process.Ops(mux, h.cfg.Metrics, h.Ready)
 	mux.HandleFunc("GET /v1/status", h.status)
-	mux.Handle("GET /metrics", metric.Handler(h.cfg.Metrics))
 }
 
-// Readiness tells whether the host takes requests, and why not.
-type Readiness struct {
-	Ready  bool   `json:"ready"`
-	Reason string `json:"reason,omitempty"`
-}
-
-// Ready tells whether the load balancer may send callers here.
-func (h *Host) Ready() Readiness {
+// Ready returns nil if the load balancer may send callers here, else why not.
+func (h *Host) Ready() error {
 	heard := h.heard.Load()
 	switch {
 	case h.stopping.Load():
-		return Readiness{Reason: "stopping"}
+		return fault.New(fault.Stopping, "the entry host is stopping")
 	case len(h.cfg.Controls) > 0 && !h.control.current.Load().Listed:
-		return Readiness{Reason: "configuration is not known yet"}
+		return fault.New(fault.Unavailable, "the configuration is not known yet")
 	case heard == 0:
-		return Readiness{Reason: "no announcement was heard yet"}
+		return fault.New(fault.Unavailable, "no announcement was heard yet")
 	case time.Since(h.started)-time.Duration(heard) < h.cfg.SettleTime:
-		return Readiness{Reason: "announcements are still being collected"}
-	}
-	return Readiness{Ready: true}
-}
-
-func (h *Host) healthz(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-h.queue.closed:
-		answer.WriteJSON(w, http.StatusServiceUnavailable, Readiness{Reason: "control loop has ended"})
-	default:
-		answer.WriteJSON(w, http.StatusOK, Readiness{Ready: true})
+		return fault.New(fault.Unavailable, "announcements are still being collected")
 	}
-}
-
-func (h *Host) readyz(w http.ResponseWriter, _ *http.Request) {
-	status := http.StatusOK
-	ready := h.Ready()
-	if !ready.Ready {
-		status = http.StatusServiceUnavailable
-	}
-	answer.WriteJSON(w, status, ready)
-}
-
-// Version is the answer of /version.
-type Version struct {
-	Role    string `json:"role"`
-	Name    string `json:"name"`
-	Version string `json:"version"`
-}
-
-func (h *Host) version(w http.ResponseWriter, _ *http.Request) {
-	answer.WriteJSON(w, http.StatusOK, Version{Role: "entry", Name: h.cfg.Name, Version: h.cfg.Version})
+	return nil
 }
 
 // Status is the answer of /v1/status.
 type Status struct {
 	Name          string           `json:"name"`
 	Incarnation   uint64           `json:"incarnation"`
-	Ready         Readiness        `json:"ready"`
+	NotReady      *fault.Error     `json:"notReady,omitempty"`
 	Configuration ConfigStatus     `json:"configuration"`
 	Queue         QueueStatus      `json:"queue"`
 	Requests      int64            `json:"requests"`
@@ -106,7 +69,7 @@
 		return
 	}
 	s := Status{
-		Name: h.cfg.Name, Incarnation: h.incarnation, Ready: h.Ready(), Configuration: *h.control.current.Load(),
+		Name: h.cfg.Name, Incarnation: h.incarnation, NotReady: fault.From(h.Ready()), Configuration: *h.control.current.Load(),
 		Queue: QueueStatus{Length: len(h.queue.messages), Capacity: cap(h.queue.messages)}, Requests: h.requests.Load(),
 	}
 	select {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -135,6 +135,9 @@
 		if e.Ran == fault.RanNo {
 			l.load(x.request.Service).refused++
 		}
+	case e.FromRecord && x.recorded == nil:
+		out.err = fault.New(fault.OutcomeUnknown, "request %s ran, but its answer was too large to be kept", x.request.RequestID)
+		out.ran = fault.RanYes
 	case e.FromRecord:
 		out.response = x.recorded
 	case a != nil:
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -40,12 +39,7 @@
 }
 
 func newPeer(h *Host, address string) *peer {
-	// HTTP/1.1 with a few connections: a call that runs into its timeout
-	// closes its connection, so that the next one does not meet a silent one.
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: h.links.dialer.DialContext, MaxConnsPerHost: 2, IdleConnTimeout: idleTimeout,
-	}}
-	return &peer{host: h, address: address, client: laburnumdockv1connect.NewPeerServiceClient(client, address)}
+	return &peer{host: h, address: address, client: laburnumdockv1connect.NewPeerServiceClient(h.cfg.Client, address)}
 }
 
 func (p *peer) run(ctx context.Context) error {
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -27,7 +27,7 @@
 func newRecord(x *exchange, phase dispatch.RecordPhase, res *response) *record {
 	rec := &record{exchange: x, phase: phase, giveUp: x.request.Deadline, proto: &pb.RequestRecord{
 		RequestId: x.request.RequestID, Phase: phaseToProto(phase), Caller: x.request.Caller,
-		Service: x.request.Service, EntryHost: x.holder, Digest: x.digest,
+		Service: x.request.Service, EntryHost: x.entryHost, Token: x.token, Digest: x.digest,
 	}}
 	if phase != dispatch.RecordBegin {
 		rec.giveUp = time.Now().Add(finishWindow)
@@ -35,7 +35,10 @@
 	if res != nil {
 		rec.proto.Status = uint32(res.status)
 		rec.proto.ContentType = res.header.Get("Content-Type")
-		rec.proto.Body = res.body
+		rec.proto.AnswerDropped = len(res.body) > maxKeptAnswer
+		if !rec.proto.AnswerDropped {
+			rec.proto.Body = res.body
+		}
 	}
 	return rec
 }
@@ -46,20 +49,24 @@
 		phase: dispatch.RecordDidNotRun, giveUp: time.Now().Add(releaseWindow),
 		proto: &pb.RequestRecord{
 			RequestId: rec.proto.GetRequestId(), Phase: pb.RequestPhase_REQUEST_PHASE_DID_NOT_RUN, Caller: rec.proto.GetCaller(),
-			Service: rec.proto.GetService(), EntryHost: rec.proto.GetEntryHost(), Digest: rec.proto.GetDigest(),
+			Service: rec.proto.GetService(), EntryHost: rec.proto.GetEntryHost(), Token: rec.proto.GetToken(), Digest: rec.proto.GetDigest(),
 		},
 	}
 }
 
 func (rec *record) size() int { return len(rec.proto.GetBody()) + recordOverhead }
 
-// recordOverhead is about the size of a record without its body.
-const recordOverhead = 256
+const (
+	// recordOverhead is about the size of a record without its body.
+	recordOverhead = 256
+	// maxKeptAnswer is the largest answer that the control replicas keep.
+	maxKeptAnswer = 64 << 10
+)
 
 // result turns the answer of the control replicas into an event. A begin was
-// taken only if the replicas say so of this very request: the holder in the
-// record names the entry host, its incarnation and the request, so neither
-// another entry host nor another request with the same ID passes for it.
+// taken only if the replicas say so of this very request: the token names the
+// incarnation of the entry host and the request, so neither another entry host
+// nor another request with the same ID passes for it.
 func (rec *record) result(result *pb.RequestResult, err *fault.Error) (dispatch.Recorded, *response) {
 	event := dispatch.Recorded{Phase: rec.phase, Err: err}
 	if rec.exchange != nil {
@@ -76,7 +83,7 @@
 		}
 		return event, nil
 	}
-	own := known.GetEntryHost() == rec.proto.GetEntryHost()
+	own := known.GetEntryHost() == rec.proto.GetEntryHost() && known.GetToken() == rec.proto.GetToken()
 	if own && known.GetPhase() == pb.RequestPhase_REQUEST_PHASE_BEGIN && (kind == "" || kind == fault.InProgress) {
 		return event, nil
 	}
@@ -85,7 +92,7 @@
 	}
 	event.Known = phaseFromProto(known.GetPhase())
 	event.Err = fault.New(kind, "request %s is known already", rec.proto.GetRequestId())
-	if event.Known != dispatch.RecordFinished {
+	if event.Known != dispatch.RecordFinished || known.GetAnswerDropped() {
 		return event, nil
 	}
 	res := &response{status: int(known.GetStatus()), header: make(http.Header), body: known.GetBody()}
@@ -142,7 +149,7 @@
 	return h.Sum(nil)
 }
 
-// holder names one request of one incarnation of this entry host.
-func (h *Host) holder(id uint64) string {
-	return h.cfg.Name + "/" + strconv.FormatUint(h.incarnation, 36) + "/" + strconv.FormatUint(id, 10)
+// token names one request of one incarnation of this entry host.
+func (h *Host) token(id uint64) string {
+	return strconv.FormatUint(h.incarnation, 36) + "-" + strconv.FormatUint(id, 10)
 }
--- a/internal/entry/recorder.go
+++ b/internal/entry/recorder.go
@@ -16,7 +16,7 @@
 // Limits of the records on their way to the control replicas.
 const (
 	maxBatchRecords = 256
-	maxBatchBytes   = 4 << 20
+	maxBatchBytes   = 1 << 20
 	// linger lets records that come close together share a batch.
 	linger = 500 * time.Microsecond
 	// recordTimeout ends a call, after which the next replica is tried. A
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -60,12 +60,21 @@
 		h.queue.post(&goneMessage{exchange: x})
 		answer.WriteRan(w, fault.New(fault.DeadlineExceeded, "no answer within the deadline"), fault.RanUnknown)
 	case <-h.queue.closed:
-		select {
-		case out := <-x.done:
-			out.write(w)
-			return
-		default:
-		}
+		h.stopped(w, x)
+	}
+}
+
+// stopped answers a request when the loop has ended. One that the loop never
+// took did not run.
+func (h *Host) stopped(w http.ResponseWriter, x *exchange) {
+	if x.taken.CompareAndSwap(false, true) {
+		h.refuse(w, fault.New(fault.Stopping, "the entry host has stopped"))
+		return
+	}
+	select {
+	case out := <-x.done:
+		out.write(w)
+	default:
 		answer.WriteRan(w, fault.New(fault.Stopping, "the entry host stopped before the answer"), fault.RanUnknown)
 	}
 }
@@ -125,7 +134,8 @@
 		},
 	}
 	if !repeatable {
-		x.holder = h.holder(x.request.ID)
+		x.entryHost = h.cfg.Name
+		x.token = h.token(x.request.ID)
 		x.digest = digest(x)
 	}
 	return x, nil
