--- /dev/null
+++ b/internal/control/raftservice.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	pb "laburnumdock/gen/laburnumdock/v1"
+	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/raft"
+)
+
+// raftService takes the messages of the other replicas.
+type raftService struct{ r *Replica }
+
+// RaftHandler returns the path and the handler of the RaftService.
+func (r *Replica) RaftHandler() (string, http.Handler) {
+	return laburnumdockv1connect.NewRaftServiceHandler(raftService{r: r})
+}
+
+// Deliver implements the RaftService.
+func (s raftService) Deliver(ctx context.Context, req *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error) {
+	if cluster := req.Msg.GetClusterId(); cluster != s.r.cfg.Cluster {
+		return nil, answer.ConnectError(fault.New(fault.Fenced, "this replica belongs to cluster %q, the messages to %q", s.r.cfg.Cluster, cluster))
+	}
+	d, err := newDelivery(req)
+	if err != nil {
+		return nil, answer.ConnectError(err)
+	}
+	select {
+	case s.r.inbound <- d:
+	default:
+		return nil, answer.ConnectError(fault.New(fault.Overloaded, "%d batches wait for the control loop already", cap(s.r.inbound)))
+	}
+	select {
+	case err = <-d.reply:
+	case <-ctx.Done():
+		err = fault.New(fault.DeadlineExceeded, "the control loop has not taken the batch in time")
+	case <-s.r.done:
+		err = fault.New(fault.Stopping, "replica %d has stopped", s.r.cfg.ID)
+	}
+	if err != nil {
+		return nil, answer.ConnectError(err)
+	}
+	return connect.NewResponse(&pb.DeliverResponse{}), nil
+}
+
+// newDelivery decodes a batch, with the snapshots in it, outside the control
+// loop, which a large snapshot would hold up.
+func newDelivery(req *connect.Request[pb.DeliverRequest]) (delivery, error) {
+	d := delivery{disk: req.Header().Get(diskHeader), reply: make(chan error, 1)}
+	var err error
+	if d.from, err = strconv.ParseUint(req.Header().Get(replicaHeader), 10, 64); err != nil {
+		return d, fault.New(fault.Invalid, "header %s is not a replica ID", replicaHeader)
+	}
+	for _, wire := range req.Msg.GetMessages() {
+		m, err := messageFromWire(wire)
+		if err != nil {
+			return d, fault.New(fault.Invalid, "message cannot be decoded: %v", err)
+		}
+		if m.From != d.from {
+			return d, fault.New(fault.Invalid, "replica %d sends a message of replica %d", d.from, m.From)
+		}
+		if err := d.decodeSnapshot(m.Snapshot); err != nil {
+			return d, fault.New(fault.Invalid, "snapshot cannot be decoded: %v", err)
+		}
+		d.messages = append(d.messages, m)
+	}
+	return d, nil
+}
+
+func (d *delivery) decodeSnapshot(snap *raft.Snapshot) error {
+	if snap == nil {
+		return nil
+	}
+	img, err := decodeImage(snap.Data)
+	if err != nil {
+		return err
+	}
+	if d.images == nil {
+		d.images = map[*raft.Snapshot]*image{}
+	}
+	d.images[snap] = img
+	return nil
+}
--- /dev/null
+++ b/internal/control/remote.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "laburnumdock/gen/laburnumdock/v1"
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/codec"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/state"
+)
+
+// readTimeout bounds the wait for a read index of the leader.
+const readTimeout = time.Second
+
+// sign tells the receiver which replica and which disk a request comes from.
+func (p *peers) sign(h http.Header) {
+	h.Set(replicaHeader, strconv.FormatUint(p.cfg.ID, 10))
+	h.Set(diskHeader, p.store.Identity().Disk)
+}
+
+func (r *Replica) peer(id uint64) (*peer, error) {
+	if all := r.peers.Load(); all != nil {
+		if p := all.get(id); p != nil {
+			return p, nil
+		}
+	}
+	return nil, fault.New(fault.Unavailable, "the address of replica %d is not known", id)
+}
+
+// forward passes a command to the leader.
+func (r *Replica) forward(ctx context.Context, leader uint64, cmd state.Command) (state.Result, error) {
+	p, err := r.peer(leader)
+	if err != nil {
+		return state.Result{}, err
+	}
+	data, err := codec.EncodeCommand(cmd)
+	if err != nil {
+		return state.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	resp, err := p.control.Forward(ctx, connect.NewRequest(&pb.ForwardRequest{Command: data}))
+	if err != nil {
+		return state.Result{}, remoteError(err, fault.OutcomeUnknown)
+	}
+	res, err := codec.DecodeResult(resp.Msg.GetResult())
+	if err != nil {
+		return state.Result{}, fault.New(fault.OutcomeUnknown, "the leader's result cannot be decoded: %v", err)
+	}
+	return res, nil
+}
+
+func (r *Replica) remoteReadIndex(ctx context.Context, leader uint64) (uint64, error) {
+	p, err := r.peer(leader)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	resp, err := p.control.ReadIndex(ctx, connect.NewRequest(&pb.ReadIndexRequest{}))
+	if err != nil {
+		return 0, remoteError(err, fault.Unavailable)
+	}
+	return resp.Msg.GetIndex(), nil
+}
+
+// remoteError returns the fault that another replica reported. Lost is the kind
+// for a failure after the request may have reached it.
+func remoteError(err error, lost fault.Kind) *fault.Error {
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		if kind := ce.Meta().Get(answer.KindHeader); kind != "" {
+			return fault.New(fault.Kind(kind), "%s", ce.Message())
+		}
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.New(fault.Unavailable, "the leader cannot be reached: %v", err)
+	}
+	return fault.New(lost, "the leader did not answer: %v", err)
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
 	"laburnumdock/internal/answer"
 	"laburnumdock/internal/codec"
+	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
 )
@@ -51,6 +52,58 @@
 	}
 }
 
+// Forward implements the ControlService. It does not forward again, so that two
+// replicas that take each other for the leader do not pass a command to and fro.
+func (s *Service) Forward(ctx context.Context, req *connect.Request[pb.ForwardRequest]) (*connect.Response[pb.ForwardResponse], error) {
+	cmd, err := codec.DecodeCommand(req.Msg.GetCommand())
+	if err != nil {
+		return nil, answer.ConnectError(fault.New(fault.Invalid, "command cannot be decoded: %v", err))
+	}
+	res, err := s.Replica.proposeLocal(ctx, cmd)
+	if err != nil {
+		return nil, answer.ConnectError(err)
+	}
+	data, err := codec.EncodeResult(res)
+	if err != nil {
+		return nil, answer.ConnectError(fault.New(fault.OutcomeUnknown, "result cannot be encoded: %v", err))
+	}
+	return connect.NewResponse(&pb.ForwardResponse{Result: data}), nil
+}
+
+// ReadIndex implements the ControlService.
+func (s *Service) ReadIndex(ctx context.Context, _ *connect.Request[pb.ReadIndexRequest]) (*connect.Response[pb.ReadIndexResponse], error) {
+	index, err := s.Replica.readIndexLocal(ctx)
+	if err != nil {
+		return nil, answer.ConnectError(err)
+	}
+	return connect.NewResponse(&pb.ReadIndexResponse{Index: index}), nil
+}
+
+// RecordRequests implements the ControlService. A record that is malformed is
+// refused by itself.
+func (s *Service) RecordRequests(ctx context.Context, req *connect.Request[pb.RecordRequestsRequest]) (*connect.Response[pb.RecordRequestsResponse], error) {
+	resp := &pb.RecordRequestsResponse{Results: make([]*pb.RequestResult, len(req.Msg.GetRecords()))}
+	var records []state.RequestRecord
+	var places []int
+	for i, wire := range req.Msg.GetRecords() {
+		rec, err := recordFromWire(wire)
+		if err != nil {
+			resp.Results[i] = &pb.RequestResult{RequestId: wire.GetRequestId(), ErrorKind: string(fault.KindOf(err))}
+			continue
+		}
+		records = append(records, rec)
+		places = append(places, i)
+	}
+	results, err := s.Replica.recorder.record(ctx, records)
+	if err != nil {
+		return nil, answer.ConnectError(err)
+	}
+	for i, res := range results {
+		resp.Results[places[i]] = resultToWire(res)
+	}
+	return connect.NewResponse(resp), nil
+}
+
 func kindSet(names []string) map[model.Kind]bool {
 	set := make(map[model.Kind]bool, len(names))
 	for _, name := range names {
--- /dev/null
+++ b/internal/control/stamp.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"time"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/state"
+)
+
+// stamp puts the leader's time into a command.
+func stamp(cmd state.Command, now time.Time) (state.Command, error) {
+	switch c := cmd.(type) {
+	case state.Put:
+		c.Origin.Time = now
+		return c, nil
+	case state.Delete:
+		c.Origin.Time = now
+		return c, nil
+	case state.HostReport:
+		c.Origin.Time = now
+		return c, nil
+	case state.HostStep:
+		c.Origin.Time = now
+		return c, nil
+	case state.WaveStep:
+		c.Origin.Time = now
+		return c, nil
+	case state.TaskStep:
+		c.Origin.Time = now
+		return c, nil
+	case state.StatusStep:
+		c.Origin.Time = now
+		return c, nil
+	case state.RecordRequests:
+		c.Origin.Time = now
+		return c, nil
+	case state.Tick:
+		c.Origin.Time = now
+		return c, nil
+	}
+	return nil, fault.New(fault.Invalid, "command %T is not known", cmd)
+}
--- /dev/null
+++ b/internal/control/store.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"sync"
+
+	"laburnumdock/internal/core/raft"
+	"laburnumdock/internal/wal"
+)
+
+// Store is the durable part of a replica. The control loop owns it, but for
+// SaveSnapshot and LoadSnapshot, which may run beside the other methods. What
+// Append and InstallSnapshot have returned for is durable; after the first
+// failure both fail for ever.
+type Store interface {
+	Append(hs raft.HardState, entries []raft.Entry) error
+	InstallSnapshot(hs raft.HardState, snap raft.Snapshot) error
+	SaveSnapshot(snap raft.Snapshot) error
+	LoadSnapshot() (raft.Snapshot, error)
+	Compact(index uint64) error
+	CheckDisk(replica uint64, disk string) error
+	Identity() wal.Identity
+	Stats() wal.Stats
+	Fail(err error)
+	Err() error
+	Close() error
+}
+
+// memoryStore keeps nothing but the newest snapshot. It serves the unreplicated
+// replica that New returns.
+type memoryStore struct {
+	mu   sync.Mutex
+	snap raft.Snapshot
+	err  error
+}
+
+func (m *memoryStore) Append(raft.HardState, []raft.Entry) error { return m.err }
+
+func (m *memoryStore) InstallSnapshot(_ raft.HardState, snap raft.Snapshot) error {
+	return m.SaveSnapshot(snap)
+}
+
+func (m *memoryStore) SaveSnapshot(snap raft.Snapshot) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.snap = snap
+	return nil
+}
+
+func (m *memoryStore) LoadSnapshot() (raft.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.snap, nil
+}
+
+func (m *memoryStore) Compact(uint64) error           { return m.err }
+func (m *memoryStore) CheckDisk(uint64, string) error { return nil }
+func (m *memoryStore) Identity() wal.Identity         { return wal.Identity{} }
+func (m *memoryStore) Stats() wal.Stats               { return wal.Stats{} }
+func (m *memoryStore) Fail(err error)                 { m.err = err }
+func (m *memoryStore) Err() error                     { return m.err }
+func (m *memoryStore) Close() error                   { return nil }
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -21,6 +21,13 @@
 	WatcherTooSlow  = Event{1104, "watcher_too_slow", logrus.WarnLevel, "watcher was cut off because it fell behind", "the client lists again by itself"}
 	StepProposed    = Event{1105, "step_proposed", logrus.DebugLevel, "fleet decision proposed", "none"}
 	PeerUnreachable = Event{1106, "peer_unreachable", logrus.WarnLevel, "peer cannot be reached", "check the peer host and the network between"}
+	// 1110 to 1119: storage and membership of the control replicas.
+	StorageOpened     = Event{1110, "storage_opened", logrus.InfoLevel, "stored log was read", "none"}
+	TornRecordCut     = Event{1111, "torn_record_cut", logrus.WarnLevel, "torn last record was cut off the log", "none after a crash; it was never acknowledged"}
+	StorageFailed     = Event{1112, "storage_failed", logrus.ErrorLevel, "storage failed, the replica acknowledges nothing any more", "free or replace the disk and restart the replica"}
+	SnapshotInstalled = Event{1113, "snapshot_installed", logrus.InfoLevel, "snapshot of the leader was installed", "none"}
+	SnapshotNotSent   = Event{1114, "snapshot_not_sent", logrus.WarnLevel, "snapshot could not be sent to a peer", "check the peer host and the network between; the leader tries again"}
+	PeerRefused       = Event{1115, "peer_refused", logrus.WarnLevel, "messages of a peer were refused", "a replica that lost its disk must join under a new ID"}
 )
 
 // Events of the entry hosts: 1300 to 1499.
@@ -37,6 +44,7 @@
 	return []Event{
 		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull,
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
-		PeerUnreachable, EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected,
+		PeerUnreachable, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
+		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected,
 	}
 }
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,125 @@
+package wal
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/raft"
+)
+
+const (
+	snapshotPrefix = "snap-"
+	snapshotSuffix = ".snap"
+	tempSuffix     = ".tmp"
+)
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016x%s", snapshotPrefix, index, snapshotSuffix)
+}
+
+// writeAtomic writes a whole file under a temporary name and renames it once it
+// is synced, so that the name never stands for a part.
+func writeAtomic(fs FS, name string, chunks ...[]byte) error {
+	temp := name + tempSuffix
+	f, err := fs.Append(temp)
+	if err != nil {
+		return err
+	}
+	for _, chunk := range chunks {
+		if _, err := f.Write(chunk); err != nil {
+			f.Close()
+			return err
+		}
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := fs.Rename(temp, name); err != nil {
+		return err
+	}
+	return fs.SyncDir()
+}
+
+// writeSnapshot stores a snapshot. It touches nothing but its own file, so that
+// it may run beside the log.
+func writeSnapshot(fs FS, id Identity, snap raft.Snapshot) error {
+	header, err := encodeFrame(snapshotHeader{Version: formatVersion, Identity: id, Meta: snap.Meta})
+	if err != nil {
+		return err
+	}
+	return writeAtomic(fs, snapshotName(snap.Meta.Index), header, frame(snap.Data))
+}
+
+func readSnapshot(fs FS, id Identity, name string) (raft.Snapshot, error) {
+	data, err := fs.ReadFile(name)
+	if err != nil {
+		return raft.Snapshot{}, refuse(err, "read %s", name)
+	}
+	payload, size, state := nextFrame(data)
+	if state != frameValid {
+		return raft.Snapshot{}, fault.New(fault.StorageFailed, "%s: wrong checksum of the header", name)
+	}
+	var header snapshotHeader
+	if err := decMode.Unmarshal(payload, &header); err != nil {
+		return raft.Snapshot{}, refuse(err, "%s: header cannot be decoded", name)
+	}
+	if err := id.check(name, header.Version, header.Identity); err != nil {
+		return raft.Snapshot{}, err
+	}
+	content, used, state := nextFrame(data[size:])
+	if state != frameValid || size+used != len(data) {
+		return raft.Snapshot{}, fault.New(fault.StorageFailed, "%s: wrong checksum or length of the content", name)
+	}
+	return raft.Snapshot{Meta: header.Meta, Data: content}, nil
+}
+
+// snapshotNames returns the names of the snapshot files, oldest first.
+func snapshotNames(fs FS) ([]string, error) {
+	return namesLike(fs, snapshotPrefix, snapshotSuffix)
+}
+
+func namesLike(fs FS, prefix, suffix string) ([]string, error) {
+	all, err := fs.List()
+	if err != nil {
+		return nil, refuse(err, "list the data folder")
+	}
+	names := slices.DeleteFunc(all, func(name string) bool {
+		return !strings.HasPrefix(name, prefix) || !strings.HasSuffix(name, suffix)
+	})
+	slices.Sort(names)
+	return names, nil
+}
+
+// newestSnapshot returns the newest snapshot, or one with index 0 if there is
+// none. An older one is no substitute for one that cannot be read, because the
+// log between them is gone.
+func newestSnapshot(fs FS, id Identity) (raft.Snapshot, error) {
+	names, err := snapshotNames(fs)
+	if err != nil || len(names) == 0 {
+		return raft.Snapshot{}, err
+	}
+	return readSnapshot(fs, id, names[len(names)-1])
+}
+
+// removeSnapshotsBefore removes the snapshots that a newer one replaces.
+func removeSnapshotsBefore(fs FS, index uint64) error {
+	names, err := snapshotNames(fs)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name >= snapshotName(index) {
+			break
+		}
+		if err := fs.Remove(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,286 @@
+// Package wal keeps the log, the hard state and the snapshot of a control
+// replica in files under its data folder. What Append has returned for is
+// durable.
+package wal
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/raft"
+)
+
+const (
+	segmentPrefix = "log-"
+	segmentSuffix = ".wal"
+	// DefaultSegmentBytes is the size at which a log file is followed by the
+	// next. It bounds what is read at once on start.
+	DefaultSegmentBytes = 16 << 20
+)
+
+func segmentName(sequence uint64) string {
+	return fmt.Sprintf("%s%016x%s", segmentPrefix, sequence, segmentSuffix)
+}
+
+// Options say where the log is and whose it must be.
+type Options struct {
+	FS           FS
+	Cluster      string
+	Replica      uint64
+	SegmentBytes int64
+}
+
+// segment is one log file.
+type segment struct {
+	sequence uint64
+	// last is the largest index of an entry in the file.
+	last uint64
+}
+
+// Log is the open log. One goroutine owns it, but for SaveSnapshot and
+// LoadSnapshot. Invariants: every record but the last is synced before the next
+// is written; after the first failure nothing is written.
+type Log struct {
+	fs       FS
+	id       Identity
+	limit    int64
+	lock     io.Closer
+	file     File
+	size     int64
+	segments []segment
+	// lastIndex and lastTerm identify the last entry.
+	lastIndex uint64
+	lastTerm  uint64
+	hs        raft.HardState
+	disks     *disks
+	err       error
+	stats     Stats
+}
+
+// Stats count what the log has done.
+type Stats struct {
+	Syncs   uint64
+	Entries uint64
+	Bytes   uint64
+}
+
+// Recovered is what the files held on open.
+type Recovered struct {
+	Identity  Identity
+	HardState raft.HardState
+	Snapshot  raft.Snapshot
+	Entries   []raft.Entry
+	// CutBytes is the length of the torn last record that was cut off.
+	CutBytes int64
+}
+
+func createSegment(fs FS, header segmentHeader, hs raft.HardState) (File, int64, error) {
+	data, err := encodeFrame(record{Header: &header, HardState: &hs})
+	if err != nil {
+		return nil, 0, err
+	}
+	f, err := fs.Append(segmentName(header.Sequence))
+	if err != nil {
+		return nil, 0, err
+	}
+	if _, err := f.Write(data); err != nil {
+		f.Close()
+		return nil, 0, err
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return nil, 0, err
+	}
+	if err := fs.SyncDir(); err != nil {
+		f.Close()
+		return nil, 0, err
+	}
+	return f, int64(len(data)), nil
+}
+
+// Err returns the failure after which nothing is stored any more, or nil.
+func (l *Log) Err() error { return l.err }
+
+// Fail makes the log refuse everything from now on.
+func (l *Log) Fail(err error) {
+	if l.err == nil {
+		l.err = err
+	}
+}
+
+func (l *Log) failed(cause error, format string, args ...any) error {
+	l.Fail(refuse(cause, format, args...))
+	return l.err
+}
+
+// Stats returns the counters.
+func (l *Log) Stats() Stats { return l.stats }
+
+// Identity returns whose files they are.
+func (l *Log) Identity() Identity { return l.id }
+
+// CheckDisk refuses a replica that shows another disk than before, because it
+// has lost its vote.
+func (l *Log) CheckDisk(replica uint64, disk string) error {
+	if l.err != nil {
+		return l.err
+	}
+	return l.disks.check(replica, disk)
+}
+
+// Append stores the hard state and entries as one record and syncs it once,
+// however many entries there are. Entries that were stored from the first index
+// on are dropped.
+func (l *Log) Append(hs raft.HardState, entries []raft.Entry) error {
+	if l.err != nil {
+		return l.err
+	}
+	if l.size >= l.limit {
+		if err := l.rotate(false); err != nil {
+			return err
+		}
+	}
+	l.hs = hs
+	if err := l.write(record{HardState: &hs, Entries: storeEntries(entries)}); err != nil {
+		return err
+	}
+	l.stats.Entries += uint64(len(entries))
+	if len(entries) > 0 {
+		last := entries[len(entries)-1]
+		l.lastIndex, l.lastTerm = last.Index, last.Term
+		current := &l.segments[len(l.segments)-1]
+		current.last = max(current.last, last.Index)
+	}
+	return nil
+}
+
+func (l *Log) write(rec record) error {
+	data, err := encodeFrame(rec)
+	if err != nil {
+		return l.failed(err, "encode a log record")
+	}
+	if len(data) > maxRecordBytes {
+		return l.failed(io.ErrShortWrite, "log record has %d bytes", len(data))
+	}
+	if n, err := l.file.Write(data); err != nil || n != len(data) {
+		if err == nil {
+			err = io.ErrShortWrite
+		}
+		return l.failed(err, "write the log")
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.failed(err, "sync the log")
+	}
+	l.size += int64(len(data))
+	l.stats.Syncs++
+	l.stats.Bytes += uint64(len(data))
+	return nil
+}
+
+// rotate begins a new segment. The old one is sealed after the new one is
+// durable, so that a missing last file is noticed.
+func (l *Log) rotate(reset bool) error {
+	sequence := l.segments[len(l.segments)-1].sequence + 1
+	header := segmentHeader{
+		Version: formatVersion, Identity: l.id, Sequence: sequence,
+		PrevIndex: l.lastIndex, PrevTerm: l.lastTerm, Reset: reset,
+	}
+	f, size, err := createSegment(l.fs, header, l.hs)
+	if err != nil {
+		return l.failed(err, "begin log file %d", sequence)
+	}
+	if err := l.write(record{Sealed: true}); err != nil {
+		f.Close()
+		return err
+	}
+	if err := l.file.Close(); err != nil {
+		f.Close()
+		return l.failed(err, "close the log")
+	}
+	l.file, l.size = f, size
+	l.segments = append(l.segments, segment{sequence: sequence})
+	return nil
+}
+
+// SaveSnapshot stores a snapshot of the applied state. It may run beside the
+// other methods; the log is not shortened before Compact.
+func (l *Log) SaveSnapshot(snap raft.Snapshot) error {
+	if err := writeSnapshot(l.fs, l.id, snap); err != nil {
+		return refuse(err, "write the snapshot at %d", snap.Meta.Index)
+	}
+	return nil
+}
+
+// LoadSnapshot returns the newest snapshot. It may run beside the other
+// methods.
+func (l *Log) LoadSnapshot() (raft.Snapshot, error) { return newestSnapshot(l.fs, l.id) }
+
+// Compact removes the files that the stored snapshot at index replaces.
+func (l *Log) Compact(index uint64) error {
+	if l.err != nil {
+		return l.err
+	}
+	if err := l.rotate(false); err != nil {
+		return err
+	}
+	keep := 0
+	for keep < len(l.segments)-1 && l.segments[keep].last <= index {
+		keep++
+	}
+	return l.removeBefore(keep, index)
+}
+
+// removeBefore removes the first segments, the oldest first so that the rest
+// stays contiguous, and the snapshots before index.
+func (l *Log) removeBefore(count int, index uint64) error {
+	for _, s := range l.segments[:count] {
+		if err := l.fs.Remove(segmentName(s.sequence)); err != nil {
+			return l.failed(err, "remove a log file")
+		}
+	}
+	l.segments = append([]segment(nil), l.segments[count:]...)
+	if err := removeSnapshotsBefore(l.fs, index); err != nil {
+		return l.failed(err, "remove an old snapshot")
+	}
+	if err := l.fs.SyncDir(); err != nil {
+		return l.failed(err, "sync the data folder")
+	}
+	return nil
+}
+
+// InstallSnapshot replaces the whole log by a snapshot from the leader.
+func (l *Log) InstallSnapshot(hs raft.HardState, snap raft.Snapshot) error {
+	if l.err != nil {
+		return l.err
+	}
+	if err := writeSnapshot(l.fs, l.id, snap); err != nil {
+		return l.failed(err, "write the snapshot at %d", snap.Meta.Index)
+	}
+	l.hs = hs
+	l.lastIndex, l.lastTerm = snap.Meta.Index, snap.Meta.Term
+	if err := l.rotate(true); err != nil {
+		return err
+	}
+	return l.removeBefore(len(l.segments)-1, snap.Meta.Index)
+}
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	l.Fail(fault.New(fault.Stopping, "the log is closed"))
+	err := l.file.Close()
+	if unlock := l.lock.Close(); err == nil {
+		err = unlock
+	}
+	return err
+}
+
+func parseSequence(name string) (uint64, bool) {
+	var sequence uint64
+	text := strings.TrimSuffix(strings.TrimPrefix(name, segmentPrefix), segmentSuffix)
+	if n, err := fmt.Sscanf(text, "%016x", &sequence); n != 1 || err != nil {
+		return 0, false
+	}
+	return sequence, segmentName(sequence) == name
+}
