Wire control replicas and entry hosts from their settings

Cause: the roles ran only inside the development process. Change: dock-control with init and init-join, dock-entry, listeners that stay open until the role has shut down.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,12 +28,20 @@
 // its process has finished its own graceful shutdown.
 const shutdownGrace = 10 * time.Second
 
-// Main runs a process with the command line that all processes share. declare
-// returns the function that runs the process with the settings it declared.
-func Main(name, usage string, declare func(*settings.Set) func(context.Context) error) {
+// Declare declares the settings of a process and returns what to run with them.
+type Declare func(*settings.Set) func(context.Context) error
+
+// Action is a further command of a process, next to running it.
+type Action struct {
+	Name, Usage string
+	Declare     Declare
+}
+
+// Main runs a process with the command line that all processes share.
+func Main(name, usage string, declare Declare, actions ...Action) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := Command(name, usage, declare).Run(ctx, os.Args); err != nil {
+	if err := Command(name, usage, declare, actions...).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
 		stop()
 		os.Exit(1)
@@ -41,8 +49,8 @@
 }
 
 // Command returns the command line of a process.
-func Command(name, usage string, declare func(*settings.Set) func(context.Context) error) *cli.Command {
-	return &cli.Command{
+func Command(name, usage string, declare Declare, actions ...Action) *cli.Command {
+	root := &cli.Command{
 		Name: name, Usage: usage, Version: Version(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "INI file with the settings"},
@@ -50,26 +58,36 @@
 			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
 			&cli.BoolFlag{Name: "print-keys", Usage: "list all settings with defaults, ranges and units, and exit"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			var set settings.Set
-			run := declare(&set)
-			if c.Bool("print-keys") {
-				return printKeys(c, &set)
-			}
-			problems := set.Load(settings.Source{Path: c.String("config"), Environ: os.LookupEnv, Overrides: c.StringSlice("set")})
-			for _, p := range problems {
-				fmt.Fprintln(os.Stderr, p)
-			}
-			if len(problems) > 0 {
-				return eris.Errorf("%d settings are wrong", len(problems))
-			}
-			if c.Bool("check-config") {
-				_, err := fmt.Fprintln(c.Root().Writer, "settings are correct")
-				return err
-			}
-			return run(ctx)
-		},
+		Action: func(ctx context.Context, c *cli.Command) error { return runWith(ctx, c, declare) },
+	}
+	for _, a := range actions {
+		root.Commands = append(root.Commands, &cli.Command{
+			Name: a.Name, Usage: a.Usage,
+			Action: func(ctx context.Context, c *cli.Command) error { return runWith(ctx, c, a.Declare) },
+		})
+	}
+	return root
+}
+
+// runWith loads the settings that declare asks for and runs it with them.
+func runWith(ctx context.Context, c *cli.Command, declare Declare) error {
+	var set settings.Set
+	run := declare(&set)
+	if c.Bool("print-keys") {
+		return printKeys(c, &set)
+	}
+	problems := set.Load(settings.Source{Path: c.String("config"), Environ: os.LookupEnv, Overrides: c.StringSlice("set")})
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) > 0 {
+		return eris.Errorf("%d settings are wrong", len(problems))
+	}
+	if c.Bool("check-config") {
+		_, err := fmt.Fprintln(c.Root().Writer, "settings are correct")
+		return err
 	}
+	return run(ctx)
 }
 
 func printKeys(c *cli.Command, set *settings.Set) error {
--- a/internal/process/tls.go
+++ b/internal/process/tls.go
@@ -43,13 +43,6 @@
 	return pool, nil
 }
 
-// Client is how a process calls others of the system.
-type Client struct {
-	HTTP *http.Client
-	// Scheme is "http" or "https".
-	Scheme string
-}
-
 // pingAfter is the silence on an HTTP/2 connection after which it is pinged,
 // and pingTimeout how long the answer may take. Together they bound how long
 // a silent connection is used.
@@ -59,7 +52,7 @@
 )
 
 // NewClient returns a client that speaks HTTP/2 only.
-func NewClient(c settings.ClientTLS) (*Client, error) {
+func NewClient(c settings.ClientTLS) (*http.Client, error) {
 	protocols := new(http.Protocols)
 	transport := &http.Transport{
 		Protocols:       protocols,
@@ -68,20 +61,42 @@
 	}
 	if *c.CAFile == "" {
 		protocols.SetUnencryptedHTTP2(true)
-		return &Client{HTTP: &http.Client{Transport: transport}, Scheme: "http"}, nil
+		return &http.Client{Transport: transport}, nil
 	}
-	pool, err := readPool(*c.CAFile)
+	config, err := ClientTLS(c)
 	if err != nil {
 		return nil, err
 	}
 	protocols.SetHTTP2(true)
-	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
-	if *c.CertFile != "" {
-		cert, err := tls.LoadX509KeyPair(*c.CertFile, *c.KeyFile)
-		if err != nil {
-			return nil, eris.Wrap(err, "load client certificate")
-		}
-		transport.TLSClientConfig.Certificates = []tls.Certificate{cert}
+	transport.TLSClientConfig = config
+	return &http.Client{Transport: transport}, nil
+}
+
+// ClientTLS returns the TLS configuration of a client, or nil without TLS.
+func ClientTLS(c settings.ClientTLS) (*tls.Config, error) {
+	if *c.CAFile == "" {
+		return nil, nil
+	}
+	pool, err := readPool(*c.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	if *c.CertFile == "" {
+		return config, nil
+	}
+	cert, err := tls.LoadX509KeyPair(*c.CertFile, *c.KeyFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "load client certificate")
+	}
+	config.Certificates = []tls.Certificate{cert}
+	return config, nil
+}
+
+// BaseURL returns the base URL of an address of the system.
+func BaseURL(c settings.ClientTLS, address string) string {
+	if *c.CAFile == "" {
+		return "http://" + address
 	}
-	return &Client{HTTP: &http.Client{Transport: transport}, Scheme: "https"}, nil
+	return "https://" + address
 }
--- /dev/null
+++ b/internal/role/control.go
@@ -0,0 +1,154 @@
+// Package role wires each role of the system from its settings: the pure
+// decisions, the loops round them and the listeners.
+package role
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/api"
+	"laburnumdock/internal/control"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/process"
+	"laburnumdock/internal/settings"
+)
+
+// Control runs a control replica until ctx ends.
+func Control(ctx context.Context, s *settings.Control, log *logevent.Logger) error {
+	registry := metrics.NewRegistry()
+	cfg, err := replicaConfig(s, log, registry)
+	if err != nil {
+		return err
+	}
+	replica, err := control.Open(cfg)
+	if err != nil {
+		return err
+	}
+	operators, err := operatorsHandler(ctx, s, replica, log, registry)
+	if err != nil {
+		return err
+	}
+	return serveReplica(ctx, s, replica, operators, log)
+}
+
+// serveReplica runs the replica, and its listeners for as long as it needs
+// them to hand over leadership.
+func serveReplica(ctx context.Context, s *settings.Control, replica *control.Replica, operators http.Handler, log *logevent.Logger) error {
+	peers := http.NewServeMux()
+	peers.Handle(replica.RaftHandler())
+	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: replica}))
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	for _, l := range []struct {
+		listener settings.Listener
+		handler  http.Handler
+	}{{s.API, operators}, {s.Peer, peers}} {
+		server, err := process.Listen(l.listener, l.handler)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return server.Run(serving) })
+	}
+	log.Log(logevent.ProcessStarted, logevent.Fields{"api": *s.API.Address, "peer": *s.Peer.Address})
+	running, stopRunning := context.WithCancel(ctx)
+	defer stopRunning()
+	group.Go(func() error {
+		<-serving.Done()
+		stopRunning()
+		return nil
+	})
+	group.Go(func() error {
+		defer stopServing()
+		return replica.Run(running)
+	})
+	err := group.Wait()
+	log.Log(logevent.ProcessStopped, nil)
+	return err
+}
+
+func operatorsHandler(ctx context.Context, s *settings.Control, replica *control.Replica, log *logevent.Logger, registry metrics.Registry) (http.Handler, error) {
+	cfg := api.Config{
+		Backend: replica, MaxBodyBytes: int64(*s.MaxBodyBytes), Loopback: api.IsLoopback(*s.API.Address),
+		Log: log, Stopping: ctx.Done(),
+	}
+	if *s.TokenFile != "" {
+		tokens, err := api.LoadTokens(*s.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Tokens = tokens
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", api.Handler(cfg))
+	process.Ops(mux, registry, func() error { return replicaReady(replica) })
+	return mux, nil
+}
+
+func replicaReady(replica *control.Replica) error {
+	status := replica.Status()
+	switch {
+	case status.StorageError != nil:
+		return fault.New(fault.StorageFailed, "%s", status.StorageError.Error())
+	case status.Stopping:
+		return fault.New(fault.Stopping, "replica is stopping")
+	case status.Leader == 0:
+		return fault.New(fault.Unavailable, "no leader is known")
+	}
+	return nil
+}
+
+// InitControl prepares the data folder of a replica, once in its life.
+func InitControl(s *settings.Control, join bool) error {
+	cfg, err := replicaConfig(s, logevent.Discard(), metrics.NewRegistry())
+	if err != nil {
+		return err
+	}
+	if join {
+		return control.InitJoin(cfg)
+	}
+	var voters []uint64
+	for id := range cfg.Peers {
+		voters = append(voters, id)
+	}
+	return control.InitCluster(cfg, voters)
+}
+
+func replicaConfig(s *settings.Control, log *logevent.Logger, registry metrics.Registry) (control.Config, error) {
+	peers, err := voterURLs(s)
+	if err != nil {
+		return control.Config{}, err
+	}
+	tlsConfig, err := process.ClientTLS(s.Client)
+	if err != nil {
+		return control.Config{}, err
+	}
+	return control.Config{
+		ID: uint64(*s.ID), Cluster: *s.ClusterID, Peers: peers, Dir: *s.DataDir, QueueLength: *s.QueueLength,
+		Tick: *s.HeartbeatInterval, HeartbeatTicks: 1,
+		ElectionTicks:   max(2, int(*s.ElectionTimeout / *s.HeartbeatInterval)),
+		SnapshotEntries: uint64(*s.SnapshotEntries), TLS: tlsConfig, Metrics: registry, Log: log,
+	}, nil
+}
+
+// voterURLs reads the list of voters, as id=address.
+func voterURLs(s *settings.Control) (map[uint64]string, error) {
+	urls := make(map[uint64]string, len(*s.Voters))
+	for _, text := range *s.Voters {
+		number, address, found := strings.Cut(text, "=")
+		id, err := strconv.ParseUint(number, 10, 64)
+		if !found || err != nil || id == 0 {
+			return nil, eris.Errorf("[control] voters: %q is not id=address", text)
+		}
+		urls[id] = process.BaseURL(s.Client, address)
+	}
+	return urls, nil
+}
--- /dev/null
+++ b/internal/role/entry.go
@@ -0,0 +1,72 @@
+package role
+
+import (
+	"context"
+	"net/http"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumdock/internal/entry"
+	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/process"
+	"laburnumdock/internal/settings"
+)
+
+// Entry runs an entry host until ctx ends and its requests have finished.
+func Entry(ctx context.Context, s *settings.Entry, log *logevent.Logger) error {
+	client, err := process.NewClient(s.Client)
+	if err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	host := entry.New(entry.Config{
+		Name: *s.Name, Peers: baseURLs(s.Client, *s.Peers), Controls: baseURLs(s.Client, *s.Control),
+		QueueLength: *s.QueueLength, MaxBodyBytes: int64(*s.MaxBodyBytes),
+		DefaultDeadline: *s.DefaultDeadline, MaxDeadline: *s.MaxDeadline,
+		BalancerDelay: *s.BalancerDelay, DrainTimeout: *s.ShutdownLimit,
+		Client: client, Log: log, Metrics: registry,
+	})
+	callers := http.NewServeMux()
+	callers.Handle("/v1/", host.Handler())
+	process.Ops(callers, registry, host.Ready)
+	return serveEntry(ctx, s, host, callers, log)
+}
+
+// serveEntry keeps the listeners open until the host has shut down.
+func serveEntry(ctx context.Context, s *settings.Entry, host *entry.Host, callers http.Handler, log *logevent.Logger) error {
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	callerServer, err := process.Listen(s.Callers, callers)
+	if err != nil {
+		return err
+	}
+	peerServer, err := process.Listen(s.Peer, host.PeerHandler())
+	if err != nil {
+		return err
+	}
+	log.Log(logevent.ProcessStarted, logevent.Fields{"callers": callerServer.Address(), "peer": peerServer.Address()})
+	running, stopRunning := context.WithCancel(ctx)
+	defer stopRunning()
+	group.Go(func() error { return callerServer.Run(serving) })
+	group.Go(func() error { return peerServer.Run(serving) })
+	group.Go(func() error {
+		<-serving.Done()
+		stopRunning()
+		return nil
+	})
+	group.Go(func() error {
+		defer stopServing()
+		return host.Run(running)
+	})
+	return group.Wait()
+}
+
+func baseURLs(c settings.ClientTLS, addresses []string) []string {
+	var urls []string
+	for _, address := range addresses {
+		urls = append(urls, process.BaseURL(c, address))
+	}
+	return urls
+}
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -60,7 +60,6 @@
 	ID                *int
 	DataDir           *string
 	Voters            *[]string
-	Join              *bool
 	HeartbeatInterval *time.Duration
 	ElectionTimeout   *time.Duration
 	SnapshotEntries   *int
@@ -82,8 +81,7 @@
 		ClusterID:         s.String("control", "cluster-id", "", true, "identity of the cluster; files of another cluster are refused"),
 		ID:                s.Int("control", "id", 0, 1, 1_000_000, "(replica number)", "number of the replica; never used again after its disk was lost"),
 		DataDir:           s.String("control", "data-dir", "", true, "folder for the log and snapshots"),
-		Voters:            s.List("control", "voters", "", true, "first voters, as id=address of the peer listener"),
-		Join:              s.Bool("control", "join", false, "join a running cluster as a learner instead of starting a new one"),
+		Voters:            s.List("control", "voters", "", true, "first voters, as id=address of the peer listener; a replica that joins later names the running ones"),
 		HeartbeatInterval: s.Duration("control", "heartbeat-interval", 100*time.Millisecond, 10*time.Millisecond, 5*time.Second, "time between two heartbeats of the leader"),
 		ElectionTimeout:   s.Duration("control", "election-timeout", time.Second, 50*time.Millisecond, 30*time.Second, "silence of the leader after which an election starts"),
 		SnapshotEntries:   s.Int("control", "snapshot-entries", 10_000, 100, 1_000_000, "entries", "entries after which the log is replaced by a snapshot"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -247,20 +247,3 @@
 	}
 	return values, problems
 }
-
-// Bool declares a truth value.
-func (s *Set) Bool(section, name string, def bool, help string) *bool {
-	v := new(bool)
-	s.add(&Key{
-		Section: section, Name: name, Default: strconv.FormatBool(def), Allowed: "true, false", Help: help,
-		parse: func(text string) error {
-			b, err := strconv.ParseBool(text)
-			if err != nil {
-				return fmt.Errorf("%q is not a truth value", text)
-			}
-			*v = b
-			return nil
-		},
-	})
-	return v
-}
