--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -155,13 +155,13 @@
 	id := old.Status().ID
 	c.mustPut(old, 1)
 	c.kill(id)
+	lead := c.leader()
 	disk := &failingFS{}
 	l := c.relisten(id)
 	fs, err := wal.Dir(c.dirs[id])
 	require.NoError(t, err)
 	disk.FS = fs
 	back := c.startFS(id, l, disk)
-	lead := c.leader()
 	require.Eventually(t, func() bool { return lead.Status().Tolerates == 1 }, generous, time.Millisecond)
 	require.NoError(t, transfer(lead, id))
 	require.Eventually(t, back.IsLeader, generous, time.Millisecond)
--- a/internal/core/raft/node.go
+++ b/internal/core/raft/node.go
@@ -147,11 +147,22 @@
 		n.tickLeader()
 		return
 	}
-	if n.elapsed >= n.timeout && n.Members().IsVoter(n.cfg.ID) {
+	if n.elapsed >= n.timeout && n.mayCampaign() {
 		n.preCampaign()
 	}
 }
 
+// mayCampaign tells whether this replica is a voter. One whose removal is not
+// known to be committed campaigns as well, without a vote of its own: it may be
+// the only one left whose log is long enough to lead.
+func (n *Node) mayCampaign() bool {
+	last := len(n.configs) - 1
+	if n.configs[last].members.IsVoter(n.cfg.ID) {
+		return true
+	}
+	return last > 0 && n.configs[last].index > n.log.commit && n.configs[last-1].members.IsVoter(n.cfg.ID)
+}
+
 func (n *Node) tickLeader() {
 	if n.elapsed >= n.cfg.ElectionTicks {
 		n.elapsed = 0
@@ -292,7 +303,7 @@
 	case MsgHeartbeatResp:
 		n.takeHeartbeatResp(m)
 	case MsgTimeoutNow:
-		if n.role == Follower && n.Members().IsVoter(n.cfg.ID) {
+		if n.role == Follower && n.mayCampaign() {
 			n.campaign(1)
 		}
 	default:
