Add dockctl, and dry runs of whole manifests

Cause: operators had curl alone. A dry run judged one resource, so a manifest of a pool with its hosts and budget could not be judged before it was applied.

Change: - internal/cli with one file for each sub-command, and cmd/dockctl. The client tries all control addresses and sends a change again under its first change ID until it knows the outcome; a try is bounded, so that a silent replica leaves time for the others. Exit codes tell refused, usage, conflict, not found, unavailable and outcome unknown apart. - apply puts a manifest into the order of its references, based on the versions that are there. - watch resumes from progress lines and says when changes were missed. - POST /v1/dry-run evaluates puts one after the other.

Tests: a testscript of all commands with their exit codes, lost answers, unresolved outcomes, resumed and compacted watches, fuzzing of manifests.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -127,6 +127,7 @@
 	view("GET /v1/describe/{kind}/{name}", a.describe)
 	view("GET /v1/{kind}", a.list)
 	view("GET /v1/{kind}/{name}", a.get)
+	view("POST /v1/dry-run", a.dryRun)
 	mux.HandleFunc("PUT /v1/{kind}/{name}", a.allow(changeRole, a.put))
 	mux.HandleFunc("DELETE /v1/{kind}/{name}", a.allow(changeRole, a.delete))
 	operate("POST /v1/hosts/{name}/{verb}", a.hostVerb)
--- a/internal/api/resources.go
+++ b/internal/api/resources.go
@@ -144,7 +144,7 @@
 	}
 	if dry {
 		if snap := a.read(w, r); snap != nil {
-			writeChange(w, snap.Evaluate(cmd), true)
+			writeChange(w, snap.Evaluate(cmd)[0], true)
 		}
 		return
 	}
--- a/internal/api/verbs.go
+++ b/internal/api/verbs.go
@@ -144,12 +144,12 @@
 			return res, fail
 		}
 		if v.dry {
-			return snap.Evaluate(cmd), nil
+			return snap.Evaluate(cmd)[0], nil
 		}
 		if res, err = a.Backend.Propose(r.Context(), cmd); err != nil {
 			return res, fault.From(err)
 		}
-		if res.Err == nil || res.Err.Kind != fault.Conflict || v.Version != 0 {
+		if v.Version != 0 || !isOutdated(res.Err) {
 			return res, nil
 		}
 		if id != "" {
@@ -159,6 +159,13 @@
 	return res, nil
 }
 
+// isOutdated tells whether a command lost against a change of its resource,
+// and was not refused for what the resource is: the state names the current
+// version in the first case alone.
+func isOutdated(err *fault.Error) bool {
+	return err != nil && err.Kind == fault.Conflict && err.Current != 0
+}
+
 func buildVerb(snap *state.Snapshot, key model.Key, run verb, v verbRequest) (state.Command, *fault.Error) {
 	stored := snap.Get(key)
 	if stored == nil {
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,276 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/answer"
+	"laburnumdock/internal/api"
+	"laburnumdock/internal/api/apitest"
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"dockctl": func() { os.Exit(Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// Guards against commands that say another thing, or end with another exit
+// code, than the API answered.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			backend := apitest.New()
+			server := httptest.NewServer(api.Handler(api.Config{Backend: backend, Loopback: true, Watch: api.WatchLimits{Progress: 20 * time.Millisecond}}))
+			env.Defer(server.Close)
+			env.Setenv("DOCK_CONTROL", server.URL)
+			env.Values["backend"] = backend
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exitcode":  wantExitCode,
+			"healthy":   reportHealthy,
+			"wave-done": finishWave,
+		},
+	})
+}
+
+// wantExitCode runs dockctl and compares its exit code.
+func wantExitCode(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exitcode CODE ARGUMENTS")
+	}
+	code := ExitOK
+	if exit, ok := errors.AsType[*exec.ExitError](ts.Exec("dockctl", args[1:]...)); ok {
+		code = exit.ExitCode()
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("exit code is %d, want %s", code, args[0])
+	}
+}
+
+// reportHealthy reports hosts as healthy.
+func reportHealthy(ts *testscript.TestScript, _ bool, hosts []string) {
+	backend := ts.Value("backend").(*apitest.Backend)
+	cmd := state.HostReport{Origin: state.Origin{Time: time.Now()}}
+	for _, name := range hosts {
+		cmd.Hosts = append(cmd.Hosts, state.HostObservation{Host: name, Health: model.HealthHealthy, BootID: "1", Observed: time.Now()})
+	}
+	_, err := backend.Propose(context.Background(), cmd)
+	ts.Check(err)
+}
+
+// finishWave ends a wave as the planner does.
+func finishWave(ts *testscript.TestScript, _ bool, args []string) {
+	backend := ts.Value("backend").(*apitest.Backend)
+	wave := backend.Snapshot().Get(model.Key{Kind: model.KindWave, Name: args[0]}).(*model.Wave)
+	status := wave.Status
+	status.Phase = model.WaveFinished
+	res, err := backend.Propose(context.Background(), state.WaveStep{Origin: state.Origin{Time: time.Now()}, Wave: args[0], Expected: wave.Version, Status: status})
+	ts.Check(err)
+	if res.Err != nil {
+		ts.Fatalf("%s", res.Err)
+	}
+}
+
+// flaky is an API whose answers get lost.
+type flaky struct {
+	http.Handler
+	mu   sync.Mutex
+	lose int
+	ids  map[string]bool
+}
+
+func (f *flaky) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	if id := r.Header.Get(api.ChangeIDHeader); id != "" {
+		f.ids[id] = true
+	}
+	lost := r.Method != http.MethodGet && f.lose > 0
+	if lost {
+		f.lose--
+	}
+	f.mu.Unlock()
+	if !lost {
+		f.Handler.ServeHTTP(w, r)
+		return
+	}
+	f.Handler.ServeHTTP(httptest.NewRecorder(), r)
+	panic(http.ErrAbortHandler)
+}
+
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return "http://" + l.Addr().String()
+}
+
+// Guards against a change that is sent again under a new ID after a lost
+// answer, and so takes effect twice or gets a wrong refusal.
+func TestLostAnswersAreResolvedByTheChangeID(t *testing.T) {
+	backend := apitest.New()
+	f := &flaky{Handler: api.Handler(api.Config{Backend: backend, Loopback: true}), lose: 2, ids: make(map[string]bool)}
+	server := httptest.NewServer(f)
+	defer server.Close()
+	client := NewClient([]string{closedAddress(t), server.URL}, "", time.Minute)
+	changed, err := client.change(t.Context(), call{method: http.MethodPut, path: "/v1/teams/t", body: []byte(`{}`)})
+	require.NoError(t, err)
+	require.True(t, changed.Replayed)
+	require.Len(t, f.ids, 1)
+	require.Equal(t, uint64(1), backend.Snapshot().Get(model.Key{Kind: model.KindTeam, Name: "t"}).Head().Version)
+}
+
+// Guards against an outcome that is reported as known when it is not, and the
+// other way round.
+func TestUnresolvedOutcomes(t *testing.T) {
+	backend := apitest.New()
+	f := &flaky{Handler: api.Handler(api.Config{Backend: backend, Loopback: true}), lose: 1 << 30, ids: make(map[string]bool)}
+	server := httptest.NewServer(f)
+	defer server.Close()
+	put := call{method: http.MethodPut, path: "/v1/teams/t", body: []byte(`{}`)}
+	change := func(address string) int {
+		client := NewClient([]string{address}, "", time.Minute)
+		client.tries = 2
+		_, err := client.change(t.Context(), put)
+		return exitCode(err)
+	}
+	require.Equal(t, ExitUnknown, change(server.URL))
+	require.Equal(t, ExitUnavailable, change(closedAddress(t)))
+	backend.Fail = func(state.Command) *fault.Error { return fault.New(fault.NotLeader, "x") }
+	f.lose = 0
+	require.Equal(t, ExitUnavailable, change(server.URL))
+	backend.Fail = func(state.Command) *fault.Error { return fault.New(fault.OutcomeUnknown, "x") }
+	require.Equal(t, ExitUnknown, change(server.URL))
+}
+
+// Guards against a watch that loses or repeats changes over lost connections.
+func TestWatchGoesOnAfterLostConnections(t *testing.T) {
+	backend := apitest.New()
+	handler := api.Handler(api.Config{Backend: backend, Loopback: true, Watch: api.WatchLimits{Progress: 5 * time.Millisecond}})
+	var mu sync.Mutex
+	streams := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		streams++
+		mu.Unlock()
+		ctx, cancel := context.WithTimeout(r.Context(), 30*time.Millisecond)
+		defer cancel()
+		handler.ServeHTTP(w, r.WithContext(ctx))
+	}))
+	defer server.Close()
+	const changes = 50
+	go func() {
+		for i := range changes {
+			team := &model.Team{Meta: model.Meta{Kind: model.KindTeam, Name: "t"}, Spec: model.TeamSpec{QuotaCores: i + 1}}
+			_, _ = backend.Propose(context.Background(), state.Put{Object: team, Expected: state.AnyVersion})
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	w := &watch{client: NewClient([]string{server.URL}, "", time.Minute), notes: os.Stderr}
+	var versions []uint64
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	require.NoError(t, w.run(ctx, func(e watchEvent) error {
+		versions = append(versions, e.Version)
+		return orDone(nil, len(versions) == changes)
+	}))
+	for i, v := range versions {
+		require.Equal(t, uint64(i+1), v)
+	}
+	require.Len(t, versions, changes)
+	require.Greater(t, streams, 1)
+}
+
+// Guards against a watch that ends, or goes on silently, when its changes are
+// gone.
+func TestWatchStartsAgainWhenChangesAreGone(t *testing.T) {
+	backend := apitest.New()
+	handler := api.Handler(api.Config{Backend: backend, Loopback: true})
+	first := true
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/watch" && first {
+			first = false
+			answer.WriteError(w, fault.New(fault.Compacted, "gone"))
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	put := func() {
+		_, _ = backend.Propose(context.Background(), state.Put{Object: &model.Config{Meta: model.Meta{Kind: model.KindConfig, Name: fmt.Sprint(backend.Snapshot().Version)}}})
+	}
+	put()
+	var notes strings.Builder
+	w := &watch{client: NewClient([]string{server.URL}, "", time.Minute), notes: &notes}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			put()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	require.NoError(t, w.run(ctx, func(watchEvent) error { return errWatchDone }))
+	require.Contains(t, notes.String(), "were missed")
+}
+
+// Guards against an exit code that scripts would take for another outcome.
+func TestExitCodes(t *testing.T) {
+	for kind, want := range map[fault.Kind]int{
+		fault.Invalid: ExitRefused, fault.Forbidden: ExitRefused, fault.BudgetBlocked: ExitRefused, fault.Conflict: ExitConflict,
+		fault.NotFound: ExitNotFound, fault.Unavailable: ExitUnavailable, fault.OutcomeUnknown: ExitUnknown, fault.ChangeIDExpired: ExitUnknown,
+	} {
+		require.Equal(t, want, exitCode(fault.New(kind, "x")), kind)
+	}
+	require.Equal(t, ExitOK, exitCode(nil))
+	require.Equal(t, ExitUsage, exitCode(usagef("x")))
+}
+
+// Guards against manifests that are half understood.
+func TestManifestRefusals(t *testing.T) {
+	for _, text := range []string{
+		"metadata: {kind: racks, name: r}", "metadata: {kind: pools}", "metadata: {kind: pools, name: p}\nspec: {minHost: 1}",
+		"metadata: {kind: pools, name: p}\nspec: {minHosts: x}", "metadata: {kind: pools, name: p, name: q}", "- 1", "a: [", "1: 2",
+		"metadata: {kind: pools, name: p}\n---\nmetadata: {kind: pools, name: P}",
+	} {
+		_, err := readManifest("m", []byte(text))
+		require.Equal(t, ExitUsage, exitCode(err), text)
+	}
+	list, err := readManifest("m", []byte("---\n---\nmetadata: {kind: pools, name: p}\n"))
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+	require.InDelta(t, model.DefaultRolloutWeight, list[0].(*model.Pool).Spec.RolloutWeight, 0)
+}
+
+// Guards against bytes that crash the reading of manifests.
+func FuzzReadManifest(f *testing.F) {
+	f.Add([]byte("metadata: {kind: pools, name: p}\nspec: {minHosts: 1}\n---\n"))
+	f.Add([]byte(`{"metadata":{"kind":"waves","name":"w"},"spec":{"pools":["p"]}}`))
+	f.Add([]byte("a: &a [*a]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		list, err := readManifest("m", data)
+		if err != nil {
+			require.Equal(t, ExitUsage, exitCode(err))
+			return
+		}
+		sortManifest(list)
+	})
+}
--- /dev/null
+++ b/internal/cli/manifest.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"go.yaml.in/yaml/v3"
+
+	"laburnumdock/internal/core/model"
+)
+
+// readManifest reads the resources of a file of YAML documents, or JSON, which
+// is YAML as well. It refuses unknown fields before anything is sent.
+func readManifest(name string, data []byte) ([]model.Object, error) {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var list []model.Object
+	for n := 1; ; n++ {
+		var doc any
+		err := dec.Decode(&doc)
+		if errors.Is(err, io.EOF) {
+			return list, nil
+		}
+		if err != nil {
+			return nil, usagef("%s: document %d: %s", name, n, err)
+		}
+		if doc == nil {
+			continue
+		}
+		obj, err := decodeDocument(doc)
+		if err != nil {
+			return nil, usagef("%s: document %d: %s", name, n, err)
+		}
+		list = append(list, obj)
+	}
+}
+
+func decodeDocument(doc any) (model.Object, error) {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil, err
+	}
+	var head struct{ Metadata model.Meta }
+	if err := json.Unmarshal(data, &head); err != nil {
+		return nil, err
+	}
+	obj := model.New(head.Metadata.Kind)
+	if obj == nil {
+		return nil, fmt.Errorf("metadata.kind %q is not one of %v", head.Metadata.Kind, model.Kinds())
+	}
+	if err := model.ValidateName("metadata.name", head.Metadata.Name); err != nil {
+		return nil, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(obj); err != nil {
+		return nil, fmt.Errorf("%s %s: %w", head.Metadata.Kind, head.Metadata.Name, err)
+	}
+	return obj, nil
+}
+
+// sortManifest puts resources behind those they refer to. Pools that borrow
+// come behind the pools they borrow from.
+func sortManifest(list []model.Object) {
+	kinds := model.Kinds()
+	rank := func(obj model.Object) int {
+		r := 2 * slices.Index(kinds, obj.Head().Kind)
+		if pool, ok := obj.(*model.Pool); ok && pool.Spec.SpareFrom != "" {
+			r++
+		}
+		return r
+	}
+	slices.SortStableFunc(list, func(a, b model.Object) int { return cmp.Compare(rank(a), rank(b)) })
+}
--- a/internal/core/state/changes.go
+++ b/internal/core/state/changes.go
@@ -57,7 +57,9 @@
 // repetition. A refusal of the ID itself is not recorded under it.
 func (s *State) idempotent(o Origin, key model.Key, apply func() Result) Result {
 	if o.ChangeID == "" {
-		return apply()
+		res := apply()
+		res.Key = key
+		return res
 	}
 	digest := changeDigest(o, key)
 	if first, ok := s.changes.records[o.ChangeID]; ok {
@@ -67,6 +69,7 @@
 		return Result{Key: key, Err: err}
 	}
 	res := apply()
+	res.Key = key
 	if res.Version == 0 {
 		res.Version = s.version
 	}
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -85,9 +85,10 @@
 	return count
 }
 
-// Evaluate returns the result that cmd would have as the next command. It
-// changes nothing, and any goroutine may call it.
-func (s *Snapshot) Evaluate(cmd Command) Result {
+// Evaluate returns the results that commands would have as the next ones, one
+// after the other. It changes nothing, and any goroutine may call it. It costs
+// one pass over all resources for the ledger.
+func (s *Snapshot) Evaluate(commands ...Command) []Result {
 	scratch := New()
 	scratch.version = s.Version
 	scratch.now = s.Now
@@ -96,7 +97,12 @@
 	}
 	scratch.poolHosts = forkTree(s.poolHosts)
 	scratch.rebuildLedger()
-	return scratch.Apply(s.Version+1, cmd)
+	scratch.rebuildLedger()
+	results := make([]Result, 0, len(commands))
+	for _, cmd := range commands {
+		results = append(results, scratch.Apply(scratch.version+1, cmd))
+	}
+	return results
 }
 
 // forkTree returns a copy of a tree that other goroutines read meanwhile. Copy
--- a/internal/core/state/state_test.go
+++ b/internal/core/state/state_test.go
@@ -370,13 +370,15 @@
 	b := fleet(t)
 	snap := b.Snapshot()
 	before := b.Dump()
-	dry := snap.Evaluate(Put{Origin: b.origin(), Object: host("h3", "quotes"), Expected: 0})
+	dry := snap.Evaluate(Put{Origin: b.origin(), Object: host("h3", "quotes"), Expected: 0})[0]
 	require.Nil(t, dry.Err)
 	require.Equal(t, before, b.Dump())
 	require.Nil(t, snap.Get(model.Key{Kind: model.KindHost, Name: "h3"}))
 	require.Equal(t, 2, snap.HostsIn("quotes"))
 	require.Equal(t, dry, b.do(Put{Origin: b.origin(), Object: host("h3", "quotes"), Expected: 0}))
-	require.Equal(t, fault.Invalid, snap.Evaluate(Put{Origin: b.origin(), Object: host("h3", "x")}).Err.Kind)
+	several := snap.Evaluate(Put{Origin: b.origin(), Object: host("h4", "x")}, Put{Origin: b.origin(), Object: pool("x")}, Put{Origin: b.origin(), Object: host("h4", "x")})
+	require.Equal(t, fault.Invalid, several[0].Err.Kind)
+	require.Nil(t, several[2].Err, "a command sees the ones before it")
 }
 
 // Guards against a log entry that is applied twice.
@@ -386,3 +388,14 @@
 	require.Equal(t, fault.Internal, b.Apply(b.Version(), Tick{Origin: b.origin()}).Err.Kind)
 	require.Equal(t, before, b.Dump())
 }
+
+// Guards against a dry run of a step that judges without the planned-stop
+// ledger.
+func TestEvaluateKnowsTheLedger(t *testing.T) {
+	b := fleet(t)
+	h := b.Get(hostKey("h1")).(*model.Host)
+	step := HostStep{Origin: b.origin(), Host: "h1", Expected: h.Version, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopDrain}}
+	dry := b.Snapshot().Evaluate(step)[0]
+	require.Equal(t, fault.BudgetBlocked, dry.Err.Kind)
+	require.Equal(t, dry, b.do(step))
+}
