Cancel waves and keep evaluated commands off shared lists

Cause: a wave can be cancelled now, and the planner does not act on it. A dry run of a host's return appended to the Done list that the real state appends to, so it could put another host into the list of the replica. Change: the planner cancels stops before the reboot and ends the wave once no host is stopped; Apply refuses new stops of a cancelled wave. A state that only evaluates a command copies the list. Tests put budgets after hosts, since a budget that its pool cannot keep is refused.

--- a/internal/core/fleet/bench_test.go
+++ b/internal/core/fleet/bench_test.go
@@ -25,8 +25,8 @@
 		name := fmt.Sprintf("pool-%03d", i)
 		names = append(names, name)
 		w.pool(name, func(p *model.PoolSpec) { p.SpareFrom = "spare" })
-		w.budget(name, model.BudgetSpec{MinHealthy: hosts / pools / 2, MaxPlannedStops: 3, SurviveRack: true, SurviveZone: false})
 		w.hosts(name, hosts/pools)
+		w.budget(name, model.BudgetSpec{MinHealthy: hosts / pools / 2, MaxPlannedStops: 3, SurviveRack: true, SurviveZone: false})
 	}
 	w.hosts("spare", hosts-hosts/pools*pools)
 	w.report(w.s.Snapshot())
--- a/internal/core/fleet/move_test.go
+++ b/internal/core/fleet/move_test.go
@@ -19,10 +19,10 @@
 	w := newWorld()
 	w.pool("spare", func(p *model.PoolSpec) { p.Spare, p.MinDwellSeconds = true, 300 })
 	w.pool("a", func(p *model.PoolSpec) { p.SpareFrom, p.MinDwellSeconds = "spare", 600 })
-	w.budget("spare", model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 2})
-	w.budget("a", model.BudgetSpec{MinHealthy: 4, MaxPlannedStops: 2})
 	w.hosts("a", 8)
 	w.hosts("spare", 4)
+	w.budget("spare", model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 2})
+	w.budget("a", model.BudgetSpec{MinHealthy: 4, MaxPlannedStops: 2})
 	w.report(w.s.Snapshot())
 	return w, fleet.NewPlanner(nil)
 }
@@ -157,14 +157,14 @@
 func (f fleetOf) world() *world {
 	w := newWorld()
 	w.pool(f.spare, func(p *model.PoolSpec) { p.Spare, p.RolloutWeight = true, f.weight })
-	w.budget(f.spare, model.BudgetSpec{MinHealthy: 4, MaxPlannedStops: 2})
 	for i, hosts := range []int{8, 8, 8, 9, 9} {
 		name := fmt.Sprintf("pool-%d", i)
 		w.pool(name, func(p *model.PoolSpec) { p.SpareFrom, p.RolloutWeight = f.spare, f.weight })
-		w.budget(name, model.BudgetSpec{MinHealthy: hosts / 2, MaxPlannedStops: 6})
 		w.hosts(name, hosts)
+		w.budget(name, model.BudgetSpec{MinHealthy: hosts / 2, MaxPlannedStops: 6})
 	}
 	w.hosts(f.spare, 8)
+	w.budget(f.spare, model.BudgetSpec{MinHealthy: 4, MaxPlannedStops: 2})
 	w.rebootTime = 2 * time.Minute
 	w.report(w.s.Snapshot())
 	return w
--- a/internal/core/fleet/stop.go
+++ b/internal/core/fleet/stop.go
@@ -52,6 +52,11 @@
 
 // driveStop plans the next step of a planned stop, or says what it waits for.
 func (pl *Planner) driveStop(p *poolIndex, h *model.Host, reported time.Time) {
+	before := h.Status.Phase == model.HostDraining || h.Status.Phase == model.HostDrained
+	if w := pl.waves[h.Status.Stop.Wave]; before && w != nil && w.wave.Spec.Cancelled {
+		pl.cancelStop(h)
+		return
+	}
 	switch h.Status.Phase {
 	case model.HostActive:
 		// An active host is in no stop.
--- a/internal/core/fleet/wave.go
+++ b/internal/core/fleet/wave.go
@@ -62,7 +62,12 @@
 }
 
 func (w *waveIndex) active() bool {
-	return w.wave.Spec.Started && w.wave.Status.Phase != model.WaveFinished
+	return w.wave.Spec.Started && !w.wave.Spec.Cancelled && w.wave.Status.Phase != model.WaveFinished
+}
+
+// cancelling tells that the wave is cancelled and not over yet.
+func (w *waveIndex) cancelling() bool {
+	return w.wave.Spec.Cancelled && w.wave.Status.Phase != model.WaveCancelled
 }
 
 // covers tells whether the wave still has to stop the host. A host that was
@@ -146,6 +151,12 @@
 func (pl *Planner) stepWaves() {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
+		if w.cancelling() && w.stops == 0 {
+			status := w.wave.Status
+			status.Phase, status.Reason, status.Message = model.WaveCancelled, model.ReasonNone, "cancelled by an operator"
+			status.Stopped, status.Waiting = nil, nil
+			pl.proposeWave(w, status)
+		}
 		if !w.active() {
 			continue
 		}
--- a/internal/core/fleet/wave_test.go
+++ b/internal/core/fleet/wave_test.go
@@ -15,8 +15,8 @@
 func site(budget model.BudgetSpec) (*world, *fleet.Planner) {
 	w := newWorld()
 	w.pool("a", nil)
-	w.budget("a", budget)
 	w.hosts("a", 12)
+	w.budget("a", budget)
 	w.report(w.s.Snapshot())
 	return w, fleet.NewPlanner(nil)
 }
@@ -129,10 +129,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			w := newWorld()
 			w.pool("a", nil)
+			w.hosts("a", 12)
 			if test.budget != nil {
 				w.budget("a", *test.budget)
 			}
-			w.hosts("a", 12)
 			w.report(w.s.Snapshot())
 			if test.before != nil {
 				test.before(w)
@@ -256,8 +256,8 @@
 func TestHostsThatJoinDuringAWave(t *testing.T) {
 	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
 	w.pool("b", nil)
-	w.budget("b", model.BudgetSpec{MinHealthy: 0, MaxPlannedStops: 4})
 	w.hosts("b", 2)
+	w.budget("b", model.BudgetSpec{MinHealthy: 0, MaxPlannedStops: 4})
 	w.report(w.s.Snapshot())
 	w.wave("w", []string{"a"}, func(s *model.WaveSpec) { s.MaxParallel = 1 })
 	w.round(pl, fleet.Input{})
@@ -320,3 +320,19 @@
 	}
 	return steps
 }
+
+// Guards against a cancelled wave that goes on, or that leaves hosts in their
+// planned stop.
+func TestCancelledWaveReturnsItsHosts(t *testing.T) {
+	w, pl := site(model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 12})
+	w.wave("w", []string{"a"}, nil)
+	w.machines["a-000"].inFlight = 1000
+	require.True(t, w.until(pl, 60, func() bool { return w.host("a-001").Status.Phase == model.HostRebooting }))
+	wave := w.waveOf("w").Clone().(*model.Wave)
+	wave.Spec.Cancelled = true
+	w.put(wave)
+	require.True(t, w.until(pl, 600, w.inPhase(model.WaveCancelled)))
+	require.Zero(t, w.stops())
+	require.NotContains(t, w.waveOf("w").Status.Done, "a-000")
+	require.Contains(t, w.waveOf("w").Status.Done, "a-001")
+}
--- a/internal/core/state/ledger_test.go
+++ b/internal/core/state/ledger_test.go
@@ -421,3 +421,36 @@
 	x.apply(StatusStep{Origin: x.origin(), Objects: []model.Object{status}})
 	require.Equal(t, stored.Version, x.s.Get(status.Key()).Head().Version)
 }
+
+// Guards against an evaluated command that writes into the list of hosts that
+// the real state appends to.
+func TestEvaluatedReturnLeavesTheWaveAlone(t *testing.T) {
+	x := newSite(t)
+	x.pool("a", nil)
+	x.hosts("a", 6)
+	x.budget("a", model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 6})
+	x.wave(func(w *model.WaveSpec) { w.MaxParallel = 6 })
+	require.Nil(t, x.waveStep(model.WaveRunning))
+	for i := range 5 {
+		host := fmt.Sprintf("a-%d", i)
+		require.Nil(t, x.waveStop(host))
+	}
+	x.now = x.now.Add(DrainSettle)
+	for i := range 5 {
+		host := fmt.Sprintf("a-%d", i)
+		x.report(host, model.HealthHealthy, 0, "boot-1")
+		require.Nil(t, x.to(host, model.HostDrained))
+		require.Nil(t, x.to(host, model.HostRebooting))
+		x.report(host, model.HealthHealthy, 0, "boot-2")
+		require.Nil(t, x.to(host, model.HostReturning))
+	}
+	for i := range 4 {
+		before := x.s.Snapshot()
+		require.Nil(t, x.to(fmt.Sprintf("a-%d", i), model.HostActive))
+		done := x.waveStatus().Done
+		want := append([]string(nil), done...)
+		other := HostStep{Origin: x.origin(), Host: "a-4", Expected: AnyVersion, To: model.HostActive}
+		require.Nil(t, before.Evaluate(other).Err)
+		require.Equal(t, want, x.waveStatus().Done)
+	}
+}
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -96,6 +96,7 @@
 	}
 	scratch.poolHosts = forkTree(s.poolHosts)
 	scratch.rebuildLedger()
+	scratch.evaluates = true
 	return scratch.Apply(s.Version+1, cmd)
 }
 
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -36,6 +36,9 @@
 	audit     []AuditEntry
 	requests  requestTable
 	ledger    ledger
+	// evaluates tells that this state is a scratch copy which shares resources
+	// with a snapshot.
+	evaluates bool
 }
 
 // New returns an empty state.
--- a/internal/core/state/wave.go
+++ b/internal/core/state/wave.go
@@ -23,7 +23,7 @@
 	if wave.Status.Started.IsZero() && c.Status.Phase != model.WavePending {
 		wave.Status.Started = s.now
 	}
-	if c.Status.Phase == model.WaveFinished {
+	if c.Status.Phase == model.WaveFinished || c.Status.Phase == model.WaveCancelled {
 		wave.Status.Finished = s.now
 	}
 	s.store(&wave)
@@ -37,8 +37,14 @@
 	if err := checkVersion(stored.Key(), stored, c.Expected); err != nil {
 		return err
 	}
-	if stored.Status.Phase == model.WaveFinished {
-		return fault.New(fault.Conflict, "wave %s is finished", c.Wave)
+	if phase := stored.Status.Phase; phase == model.WaveFinished || phase == model.WaveCancelled {
+		return fault.New(fault.Conflict, "wave %s is %s", c.Wave, phase)
+	}
+	if stored.Spec.Cancelled != (c.Status.Phase == model.WaveCancelled) {
+		return fault.New(fault.Conflict, "wave %s cannot become %s, its spec says cancelled: %t", c.Wave, c.Status.Phase, stored.Spec.Cancelled)
+	}
+	if stored.Spec.Cancelled {
+		return nil
 	}
 	if !stored.Spec.Started && c.Status.Phase != model.WavePending {
 		return fault.New(fault.Conflict, "wave %s is not started", c.Wave)
@@ -59,6 +65,8 @@
 	switch {
 	case wave.Spec.Action != stop.Action:
 		return fault.Field("stop.action", string(wave.Spec.Action), "wave %s does not ask for %s", wave.Name, stop.Action)
+	case wave.Spec.Cancelled:
+		return fault.New(fault.Conflict, "wave %s is cancelled", wave.Name)
 	case wave.Spec.Paused:
 		return blocked(model.ReasonPaused, "wave %s is paused", wave.Name)
 	case wave.Status.Phase == model.WavePaused:
@@ -83,8 +91,13 @@
 		return
 	}
 	wave := *stored
+	done := stored.Status.Done
+	if s.evaluates {
+		// A command that is only evaluated must not write to the shared array.
+		done = slices.Clip(done)
+	}
 	// The older lists end before the new element, so they can share the array:
 	// a copy per host would keep a list of all hosts in each retained event.
-	wave.Status.Done = append(stored.Status.Done, host)
+	wave.Status.Done = append(done, host)
 	s.store(&wave)
 }
