--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -97,7 +97,7 @@
 	}
 	scratch.poolHosts = forkTree(s.poolHosts)
 	scratch.rebuildLedger()
-	scratch.rebuildLedger()
+	scratch.evaluates = true
 	results := make([]Result, 0, len(commands))
 	for _, cmd := range commands {
 		results = append(results, scratch.Apply(scratch.version+1, cmd))
