--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumdock/internal/core/member"
+	"laburnumdock/internal/logevent"
 )
 
 // boardRetention is how long a silent endpoint stays on the board.
@@ -27,17 +28,26 @@
 
 func newBoard() *board { return &board{entries: make(map[string]*boardEntry)} }
 
-// note takes an announcement that was accepted. An older one changes nothing.
-func (b *board) note(a member.Announcement, direct bool) {
+// note takes an announcement that was accepted, and returns the log event that
+// it is worth, or nil. An older one changes nothing.
+func (b *board) note(a member.Announcement, direct bool) *logevent.Event {
 	e := b.entries[a.Endpoint]
 	if e == nil {
 		e = &boardEntry{}
 		b.entries[a.Endpoint] = e
 	} else if a.Incarnation < e.Incarnation || a.Incarnation == e.Incarnation && a.Sequence <= e.Sequence {
-		return
+		return nil
 	}
+	before := e.Announcement
 	b.change++
 	*e = boardEntry{Announcement: a, direct: direct, change: b.change}
+	switch {
+	case a.Leaving && !before.Leaving:
+		return &logevent.EndpointLeft
+	case !a.Leaving && (a.Incarnation != before.Incarnation || a.Heard.Sub(before.Heard) > member.Lease):
+		return &logevent.EndpointJoined
+	}
+	return nil
 }
 
 // since returns what was heard directly after a change.
--- a/internal/entry/controlclient.go
+++ b/internal/entry/controlclient.go
@@ -73,8 +73,10 @@
 	config  *configuration
 	// relist asks for a list instead of the changes since the last version.
 	relist bool
-	// connected is whether the last report said so.
-	connected bool
+	// failures counts the streams in a row that brought nothing; lost is set
+	// once none of the replicas could be followed.
+	failures int
+	lost     bool
 	// current is what other goroutines read.
 	current atomic.Pointer[ConfigStatus]
 }
@@ -91,7 +93,7 @@
 }
 
 func newControlClient(cfg Config, q queue) *controlClient {
-	c := &controlClient{cfg: cfg, clients: controlClients(cfg), config: newConfiguration(q), relist: true}
+	c := &controlClient{cfg: cfg, clients: controlClients(cfg), config: newConfiguration(q), relist: true, lost: true}
 	c.current.Store(&ConfigStatus{})
 	return c
 }
@@ -201,8 +203,9 @@
 	c.current.Store(&ConfigStatus{
 		Version: c.config.version, Listed: true, Replica: c.cfg.Controls[index], Configs: c.config.values,
 	})
-	if !c.connected {
-		c.connected = true
+	c.failures = 0
+	if c.lost {
+		c.lost = false
 		c.cfg.Log.Log(logevent.ControlConnected, logevent.Fields{"replica": c.cfg.Controls[index], "version": c.config.version})
 	}
 }
@@ -213,8 +216,9 @@
 	status := *c.current.Load()
 	status.Replica = ""
 	c.current.Store(&status)
-	if c.connected && ctx.Err() == nil {
-		c.connected = false
+	c.failures++
+	if !c.lost && c.failures > len(c.clients) && ctx.Err() == nil {
+		c.lost = true
 		c.cfg.Log.Err(logevent.ControlLost, err, logevent.Fields{"replica": c.cfg.Controls[index]})
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,8 @@
 	QueueLength int
 	// MaxRequests bounds the requests of callers in the process.
 	MaxRequests int
+	// MaxBufferedBytes bounds the request bodies in memory together.
+	MaxBufferedBytes int64
 	// MaxBodyBytes bounds the body of a request and of an answer.
 	MaxBodyBytes int64
 	// DefaultDeadline holds for requests without one, MaxDeadline for all.
@@ -49,6 +51,7 @@
 	defaultQueueLength  = 4096
 	defaultMaxRequests  = 8192
 	defaultMaxBodyBytes = 1 << 20
+	defaultBuffered     = 256 << 20
 	defaultDeadline     = 10 * time.Second
 	defaultMaxDeadline  = 10 * time.Minute
 	defaultSettleTime   = time.Second
@@ -61,6 +64,7 @@
 	orDefault(&c.QueueLength, defaultQueueLength)
 	orDefault(&c.MaxRequests, defaultMaxRequests)
 	orDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	orDefault(&c.MaxBufferedBytes, defaultBuffered)
 	orDefault(&c.DefaultDeadline, defaultDeadline)
 	orDefault(&c.MaxDeadline, defaultMaxDeadline)
 	orDefault(&c.SettleTime, defaultSettleTime)
@@ -101,6 +105,8 @@
 	nextID      atomic.Uint64
 	// requests counts the exchanges that the loop has not forgotten.
 	requests atomic.Int64
+	// buffered is the size of their bodies.
+	buffered atomic.Int64
 	// heard is set by the first announcement, in nanoseconds after started.
 	heard    atomic.Int64
 	stopping atomic.Bool
@@ -119,7 +125,7 @@
 	for _, address := range cfg.Peers {
 		h.peers = append(h.peers, newPeer(h, address))
 	}
-	h.loop = newLoop(h, dispatch.New())
+	h.loop = newLoop(h, dispatch.NewWith(dispatch.Config{EntryHost: cfg.Name, Seed: h.incarnation}))
 	return h
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -19,6 +19,8 @@
 	header      http.Header
 	remote      string
 	body        []byte
+	// reserved is the share of Config.MaxBufferedBytes that it holds.
+	reserved int64
 	// These are set for a request that must not be repeated.
 	entryHost, token string
 	digest           []byte
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumdock/internal/answer"
@@ -94,11 +95,6 @@
 			Live: l.dispatcher.Directory.Routable(e.Announcement, now), AgeMs: age.Milliseconds(), InFlight: l.use[name],
 		})
 	}
-	slices.SortFunc(list, func(a, b EndpointStatus) int {
-		if a.Endpoint < b.Endpoint {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b EndpointStatus) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	m.reply <- list
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -13,6 +13,9 @@
 // tickInterval is the resolution of leases and deadlines in the dispatcher.
 const tickInterval = 50 * time.Millisecond
 
+// minWait keeps the loop from waking up again at once for the same delay.
+const minWait = time.Millisecond
+
 // pruneInterval is how often endpoints that were silent for long are dropped.
 const pruneInterval = 10 * time.Second
 
@@ -50,18 +53,25 @@
 	defer ticker.Stop()
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
+	due := time.NewTimer(tickInterval)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			l.step(dispatch.Ticked{})
+		case <-due.C:
+			l.step(dispatch.Ticked{})
 		case <-prune.C:
 			l.board.prune(time.Now())
 			clear(l.refused)
 		case m := <-l.host.queue.messages:
 			m.handle(l)
 		}
+		if at, ok := l.dispatcher.NextDue(); ok {
+			due.Reset(max(time.Until(at), minWait))
+		}
 	}
 }
 
@@ -162,7 +172,7 @@
 		return
 	}
 	delete(l.exchanges, x.request.ID)
-	l.host.requests.Add(-1)
+	l.host.release(x.reserved)
 	l.checkIdle()
 }
 
@@ -187,7 +197,9 @@
 		l.logRefused(a, err)
 		return err
 	}
-	l.board.note(a, direct)
+	if event := l.board.note(a, direct); event != nil {
+		l.host.cfg.Log.Log(*event, logevent.Fields{"endpoint": a.Endpoint, "host": a.Host, "service": a.Service})
+	}
 	return nil
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -135,15 +136,7 @@
 
 // useList returns the slots in use by this host, in a stable order.
 func (l *loop) useList() []dispatch.EndpointUse {
-	list := make([]dispatch.EndpointUse, 0, len(l.use))
-	for endpoint, n := range l.use {
-		list = append(list, dispatch.EndpointUse{Endpoint: endpoint, InUse: n})
-	}
-	slices.SortFunc(list, func(a, b dispatch.EndpointUse) int {
-		if a.Endpoint < b.Endpoint {
-			return -1
-		}
-		return 1
-	})
+	list := l.dispatcher.Use()
+	slices.SortFunc(list, func(a, b dispatch.EndpointUse) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return list
 }
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -114,7 +114,7 @@
 func useToProto(use []dispatch.EndpointUse) []*pb.SlotUse {
 	list := make([]*pb.SlotUse, 0, len(use))
 	for _, u := range use {
-		list = append(list, &pb.SlotUse{Endpoint: u.Endpoint, InUse: uint32(u.InUse), Queued: uint32(u.Queued)})
+		list = append(list, &pb.SlotUse{Endpoint: u.Endpoint, InUse: uint32(u.InUse), Queued: uint32(u.Queued), Long: uint32(u.Long)})
 	}
 	return list
 }
@@ -122,7 +122,7 @@
 func useFromProto(use []*pb.SlotUse) []dispatch.EndpointUse {
 	list := make([]dispatch.EndpointUse, 0, len(use))
 	for _, u := range use {
-		list = append(list, dispatch.EndpointUse{Endpoint: u.GetEndpoint(), InUse: int(u.GetInUse()), Queued: int(u.GetQueued())})
+		list = append(list, dispatch.EndpointUse{Endpoint: u.GetEndpoint(), InUse: int(u.GetInUse()), Queued: int(u.GetQueued()), Long: int(u.GetLong())})
 	}
 	return list
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -21,19 +21,19 @@
 // serve takes one request of a caller.
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if h.requests.Add(1) > int64(h.cfg.MaxRequests) {
-		h.requests.Add(-1)
-		h.refuse(w, fault.New(fault.Overloaded, "%d requests are in flight already", h.cfg.MaxRequests))
-		return
-	}
-	x, err := h.read(w, r, start)
+	size := bodySize(r, h.cfg.MaxBodyBytes)
+	err := h.reserve(size)
 	if err != nil {
-		h.requests.Add(-1)
 		h.refuse(w, err)
 		return
 	}
-	if err := h.queue.offer(&arriveMessage{exchange: x}); err != nil {
-		h.requests.Add(-1)
+	x, err := h.read(w, r, start)
+	if err == nil {
+		x.reserved = size
+		err = refused(h.queue.offer(&arriveMessage{exchange: x}))
+	}
+	if err != nil {
+		h.release(size)
 		h.refuse(w, err)
 		return
 	}
@@ -41,6 +41,41 @@
 	h.metrics.latency(time.Since(start))
 }
 
+// refused returns err as an error; a nil *fault.Error is none.
+func refused(err *fault.Error) error {
+	if err == nil {
+		return nil
+	}
+	return err
+}
+
+// bodySize is the memory that the body of a request may take.
+func bodySize(r *http.Request, limit int64) int64 {
+	if r.ContentLength < 0 {
+		return limit
+	}
+	return min(r.ContentLength, limit)
+}
+
+// reserve takes a place for a request with a body of at most size bytes. The
+// control loop gives it back when nothing can happen to the request any more.
+func (h *Host) reserve(size int64) error {
+	if h.requests.Add(1) > int64(h.cfg.MaxRequests) {
+		h.requests.Add(-1)
+		return fault.New(fault.Overloaded, "%d requests are in flight already", h.cfg.MaxRequests)
+	}
+	if h.buffered.Add(size) > h.cfg.MaxBufferedBytes {
+		h.release(size)
+		return fault.New(fault.Overloaded, "bodies of requests in flight take %d bytes already", h.cfg.MaxBufferedBytes)
+	}
+	return nil
+}
+
+func (h *Host) release(size int64) {
+	h.buffered.Add(-size)
+	h.requests.Add(-1)
+}
+
 // refuse answers a request that the dispatcher never saw, so it did not run.
 func (h *Host) refuse(w http.ResponseWriter, err error) {
 	h.metrics.refused.Inc(1)
