--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -59,22 +59,22 @@
 		group.Go(func() error { return server.Run(serving) })
 	}
 	log.Log(logevent.ProcessStarted, logevent.Fields{"api": *s.API.Address, "peer": *s.Peer.Address})
-	running, stopRunning := context.WithCancel(ctx)
-	defer stopRunning()
-	group.Go(func() error {
-		<-serving.Done()
-		stopRunning()
-		return nil
-	})
-	group.Go(func() error {
-		defer stopServing()
-		return replica.Run(running)
-	})
+	group.Go(func() error { return runWhileServing(ctx, serving, stopServing, replica.Run) })
 	err := group.Wait()
 	log.Log(logevent.ProcessStopped, nil)
 	return err
 }
 
+// runWhileServing runs a role whose listeners outlive ctx, so that the role can
+// finish its shutdown. A listener that fails ends the role too.
+func runWhileServing(ctx, serving context.Context, stopServing func(), run func(context.Context) error) error {
+	defer stopServing()
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(serving, stop)()
+	return run(running)
+}
+
 func operatorsHandler(ctx context.Context, s *settings.Control, replica *control.Replica, log *logevent.Logger, registry metrics.Registry) (http.Handler, error) {
 	cfg := api.Config{
 		Backend: replica, MaxBodyBytes: int64(*s.MaxBodyBytes), Loopback: api.IsLoopback(*s.API.Address),
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -47,19 +47,9 @@
 		return err
 	}
 	log.Log(logevent.ProcessStarted, logevent.Fields{"callers": callerServer.Address(), "peer": peerServer.Address()})
-	running, stopRunning := context.WithCancel(ctx)
-	defer stopRunning()
 	group.Go(func() error { return callerServer.Run(serving) })
 	group.Go(func() error { return peerServer.Run(serving) })
-	group.Go(func() error {
-		<-serving.Done()
-		stopRunning()
-		return nil
-	})
-	group.Go(func() error {
-		defer stopServing()
-		return host.Run(running)
-	})
+	group.Go(func() error { return runWhileServing(ctx, serving, stopServing, host.Run) })
 	return group.Wait()
 }
 
