--- a/internal/core/raft/node.go
+++ b/internal/core/raft/node.go
@@ -90,8 +90,9 @@
 	}
 	n.log.stable = n.log.last()
 	n.log.commit = min(max(hs.Commit, snap.Index), n.log.last())
-	n.term = max(n.term, n.log.lastTerm())
-	n.becomeFollower(n.term, 0)
+	// The log may know of a newer term than the hard state, for which this
+	// replica has not voted.
+	n.becomeFollower(max(n.term, n.log.lastTerm()), 0)
 	if members := n.Members(); len(members.Voters) == 1 && members.IsVoter(c.ID) {
 		// A sole voter competes with nobody and need not wait.
 		n.timeout = 1
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -255,10 +255,14 @@
 	if l.err != nil {
 		return l.err
 	}
+	// The hard state goes first, so that after a crash the term is never older
+	// than the snapshot.
+	if err := l.Append(hs, nil); err != nil {
+		return err
+	}
 	if err := writeSnapshot(l.fs, l.id, snap); err != nil {
 		return l.failed(err, "write the snapshot at %d", snap.Meta.Index)
 	}
-	l.hs = hs
 	l.lastIndex, l.lastTerm = snap.Meta.Index, snap.Meta.Term
 	if err := l.rotate(true); err != nil {
 		return err
