Fix data races in the tests of the command line

Cause: tests changed fields of the stand-in backend and of the flaky server while their handlers could still read them; the race detector found it in TestUnresolvedOutcomes.

Change: Backend.Fail is a method under the backend's lock, the flaky server's count is set under its own, and the first refusal of a watch is chosen by a sync.Once. The checks are the same.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -279,7 +279,7 @@
 func TestBackendErrorsKeepTheirKind(t *testing.T) {
 	s := newServer(t)
 	for _, kind := range []fault.Kind{fault.NotLeader, fault.Unavailable, fault.Overloaded, fault.OutcomeUnknown, fault.StorageFailed} {
-		s.Fail = func(state.Command) *fault.Error { return fault.New(kind, "x") }
+		s.Fail(fault.New(kind, "x"))
 		r := s.do("PUT", "/v1/teams/t", `{}`)
 		require.Equal(t, kind, r.fault(t).Kind)
 		require.Equal(t, string(answer.For(kind).Ran), r.header.Get(answer.RanHeader))
--- a/internal/api/apitest/backend.go
+++ b/internal/api/apitest/backend.go
@@ -11,33 +11,33 @@
 	"laburnumdock/internal/core/state"
 )
 
-// Backend is a control replica without peers and files. Its methods may be
-// called by any goroutine; the fields are set before the first call.
+// Backend is a control replica without peers and files. Any goroutine may call
+// its methods.
 type Backend struct {
-	// Fail, if it returns an error, is what Propose answers. The command is
-	// applied before if the error says that its outcome is unknown.
-	Fail func(state.Command) *fault.Error
-	// Clock is the time of commands.
-	Clock func() time.Time
-
 	mu      sync.Mutex
+	fail    *fault.Error
 	state   *state.State
 	changed chan struct{}
 }
 
 // New returns an empty backend.
 func New() *Backend {
-	return &Backend{Clock: time.Now, state: state.New(), changed: make(chan struct{})}
+	return &Backend{state: state.New(), changed: make(chan struct{})}
+}
+
+// Fail makes Propose answer with an error, or work again for nil. A command is
+// applied nevertheless if the error says that its outcome is unknown.
+func (b *Backend) Fail(err *fault.Error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fail = err
 }
 
 // Propose implements api.Backend.
 func (b *Backend) Propose(_ context.Context, cmd state.Command) (state.Result, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var fail *fault.Error
-	if b.Fail != nil {
-		fail = b.Fail(cmd)
-	}
+	fail := b.fail
 	if fail != nil && fail.Kind != fault.OutcomeUnknown {
 		return state.Result{}, fail
 	}
@@ -68,4 +68,4 @@
 }
 
 // Now implements api.Backend.
-func (b *Backend) Now() time.Time { return b.Clock() }
+func (b *Backend) Now() time.Time { return time.Now() }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -98,6 +98,12 @@
 	ids  map[string]bool
 }
 
+func (f *flaky) setLose(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = n
+}
+
 func (f *flaky) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	if id := r.Header.Get(api.ChangeIDHeader); id != "" {
@@ -154,10 +160,10 @@
 	}
 	require.Equal(t, ExitUnknown, change(server.URL))
 	require.Equal(t, ExitUnavailable, change(closedAddress(t)))
-	backend.Fail = func(state.Command) *fault.Error { return fault.New(fault.NotLeader, "x") }
-	f.lose = 0
+	backend.Fail(fault.New(fault.NotLeader, "x"))
+	f.setLose(0)
 	require.Equal(t, ExitUnavailable, change(server.URL))
-	backend.Fail = func(state.Command) *fault.Error { return fault.New(fault.OutcomeUnknown, "x") }
+	backend.Fail(fault.New(fault.OutcomeUnknown, "x"))
 	require.Equal(t, ExitUnknown, change(server.URL))
 }
 
@@ -204,10 +210,13 @@
 func TestWatchStartsAgainWhenChangesAreGone(t *testing.T) {
 	backend := apitest.New()
 	handler := api.Handler(api.Config{Backend: backend, Loopback: true})
-	first := true
+	var once sync.Once
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/v1/watch" && first {
-			first = false
+		refused := false
+		if r.URL.Path == "/v1/watch" {
+			once.Do(func() { refused = true })
+		}
+		if refused {
 			answer.WriteError(w, fault.New(fault.Compacted, "gone"))
 			return
 		}
