Keep room for short work and share slots by credits

Cause: long work took every slot at the start of a surge, and reports of peers every 250 ms were too old to place work of 4 ms.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -70,7 +70,9 @@
 	// ring holds the flows with items; turn is the index of the next.
 	ring []*flow
 	turn int
-	cost time.Duration
+	// granted is set when the flow whose turn it is has its quantum.
+	granted bool
+	cost    time.Duration
 	// quantum is the mean cost of recent items.
 	quantum time.Duration
 }
@@ -166,6 +168,9 @@
 	it.flow = f
 	f.push(it, q.fifo)
 	l.cost += it.Cost
+	if l.quantum == 0 {
+		l.quantum = it.Cost
+	}
 	l.quantum += (it.Cost - l.quantum) / 8
 	q.length++
 }
@@ -215,8 +220,11 @@
 	for i, g := range l.ring {
 		if g == f {
 			l.ring = append(l.ring[:i], l.ring[i+1:]...)
-			if i < l.turn {
+			switch {
+			case i < l.turn:
 				l.turn--
+			case i == l.turn:
+				l.granted = false
 			}
 			return
 		}
@@ -255,8 +263,9 @@
 	return min(max(it.Cost, 1), maxCostQuanta*max(l.quantum, 1))
 }
 
-// next returns the item whose turn it is by deficit round robin: a flow is
-// served while its deficit covers the cost of its first item.
+// next returns the item whose turn it is by deficit round robin: a flow gets a
+// quantum when its turn comes, and is served while its deficit covers the cost
+// of its first item.
 func (l *lane) next() *Item {
 	quantum := max(l.quantum, 1)
 	for {
@@ -265,11 +274,15 @@
 		}
 		f := l.ring[l.turn]
 		it := f.items[0]
-		if f.deficit >= min(max(it.Cost, 1), maxCostQuanta*quantum) || len(l.ring) == 1 {
+		if !l.granted {
+			f.deficit += quantum
+			l.granted = true
+		}
+		if f.deficit >= min(max(it.Cost, 1), maxCostQuanta*quantum) {
 			return it
 		}
-		f.deficit += quantum
 		l.turn++
+		l.granted = false
 	}
 }
 
--- a/internal/core/dispatch/arrive.go
+++ b/internal/core/dispatch/arrive.go
@@ -37,7 +37,7 @@
 		d.refusal(q.ID, fault.RanNo, err)
 		return
 	}
-	r := &request{Request: q, id: q.ID, deadline: deadline, line: d.line(at, s), verdict: outcome.Of(false, outcome.ReplyNone)}
+	r := &request{Request: q, id: q.ID, arrived: at, deadline: deadline, line: d.line(at, s), verdict: outcome.Of(false, outcome.ReplyNone)}
 	d.classify(r)
 	if err := d.unreachable(at, r, s); err != nil {
 		d.refusal(q.ID, fault.RanNo, err)
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -20,6 +20,8 @@
 	maxOpen = 65536
 	// checkInterval is the resolution at which running attempts are looked at.
 	checkInterval = 10 * time.Millisecond
+	// tickInterval is the resolution of deadlines, leases and probes.
+	tickInterval = 50 * time.Millisecond
 	// hangFloor and hangFactor tell when a running attempt counts as hanging:
 	// when it takes many times what its class was expected to take.
 	hangFloor  = 2 * time.Second
@@ -59,6 +61,7 @@
 	recording set
 	delayed   delayHeap
 	checked   time.Duration
+	ticked    time.Duration
 	stopping  bool
 	effects   []Effect
 }
@@ -74,6 +77,7 @@
 type request struct {
 	Request
 	id       uint64
+	arrived  time.Duration
 	deadline time.Duration
 	line     *line
 	item     admit.Item
@@ -217,8 +221,13 @@
 	d.pumpAll(at)
 }
 
-// tick lets time pass for everything that no event ends.
+// tick lets time pass for everything that no event ends. Ticks that come in
+// quick succession, for delayed attempts, do no more than timers.
 func (d *Dispatcher) tick(now time.Time, at time.Duration) {
+	if d.ticked != 0 && at-d.ticked < tickInterval {
+		return
+	}
+	d.ticked = at
 	for _, name := range d.Directory.Expire(now) {
 		d.table.Remove(name)
 	}
@@ -293,7 +302,7 @@
 	for {
 		var chosen *route.Endpoint
 		it := l.queue.Pop(func(it *admit.Item) bool {
-			chosen = d.table.Pick(s, at, route.Wish{Long: it.Lane.Long(), Not: d.requests[it.ID].avoid})
+			chosen = d.table.Pick(s, at, d.wish(at, it))
 			return chosen != nil
 		})
 		if it == nil {
@@ -308,6 +317,11 @@
 	}
 }
 
+func (d *Dispatcher) wish(at time.Duration, it *admit.Item) route.Wish {
+	r := d.requests[it.ID]
+	return route.Wish{Long: it.Lane.Long(), Aged: at-r.arrived >= route.PeakWait, Not: r.avoid}
+}
+
 func (d *Dispatcher) forward(at time.Duration, r *request, e *route.Endpoint) {
 	r.attempt++
 	r.endpoint = e
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -210,3 +210,133 @@
 	second := of[Forward](f.step(Finished{ID: 2, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond}))
 	require.Contains(t, []uint64{first[0].ID, second[0].ID}, uint64(100))
 }
+
+// Guards against a retry storm: with every endpoint failing, attempts exceed
+// requests by at most 10% and the initial credit, at start and after a long
+// time of successes.
+func TestAttemptsWithEveryEndpointFailing(t *testing.T) {
+	for _, outcome := range []AttemptOutcome{AttemptLost, AttemptNotSent, AttemptRefused} {
+		for _, warm := range []int{0, 5000} {
+			f := newFixture(Config{Seed: 5})
+			const credit, requests = 2, 10000
+			attempts := 0
+			pending := []Forward{}
+			work := func(o AttemptOutcome) {
+				for len(pending) > 0 {
+					e := pending[0]
+					pending = append(pending[1:], of[Forward](f.d.Step(f.now, Finished{ID: e.ID, Attempt: e.Attempt, Outcome: o, RunTime: time.Millisecond}))...)
+					attempts++
+				}
+			}
+			send := func(id int, o AttemptOutcome) {
+				f.now = f.now.Add(time.Millisecond)
+				if id%500 == 0 {
+					f.announce("quotes", 12)
+				}
+				q := f.request(uint64(id), true)
+				q.Deadline = f.now.Add(500 * time.Millisecond)
+				pending = append(pending, of[Forward](f.d.Step(f.now, Arrive{Request: q}))...)
+				work(o)
+				pending = append(pending, of[Forward](f.d.Step(f.now, Ticked{}))...)
+				work(o)
+			}
+			f.announce("quotes", 12)
+			for id := range warm {
+				send(id+1, AttemptAnswered)
+			}
+			attempts = 0
+			for id := range requests {
+				send(warm+id+1, outcome)
+				if id < 100 && warm == 0 {
+					require.LessOrEqual(t, attempts, (id+1)*11/10+credit, "at start, %v", outcome)
+				}
+			}
+			require.LessOrEqual(t, attempts, requests*11/10+credit, "outcome %v after %d successes", outcome, warm)
+		}
+	}
+}
+
+// Guards against an endpoint that hangs everything and keeps its share of the
+// work, and against silent connections held against an endpoint.
+func TestHangingEndpointIsEjected(t *testing.T) {
+	for _, c := range []struct {
+		outcome AttemptOutcome
+		ejected bool
+	}{{AttemptLost, true}, {AttemptSilent, false}} {
+		f := newFixture(Config{})
+		f.announce("quotes", 6)
+		for id := range uint64(20) {
+			f.step(Arrive{Request: f.request(id+1, true)})
+			f.step(Finished{ID: id + 1, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond})
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+		// Eight requests stay on each endpoint; all but those of one finish.
+		hung := map[string][]Forward{}
+		for id := range uint64(48) {
+			for _, e := range of[Forward](f.step(Arrive{Request: f.request(100+id, true)})) {
+				hung[e.Endpoint] = append(hung[e.Endpoint], e)
+			}
+		}
+		const bad = "quotes-3"
+		for name, list := range hung {
+			for _, e := range list {
+				if name != bad {
+					f.step(Finished{ID: e.ID, Attempt: e.Attempt, Outcome: AttemptAnswered, RunTime: time.Millisecond})
+				}
+			}
+		}
+		require.NotEmpty(t, hung[bad])
+		for _, e := range hung[bad] {
+			if c.outcome == AttemptSilent {
+				f.step(Finished{ID: e.ID, Attempt: e.Attempt, Outcome: c.outcome})
+			}
+		}
+		for range 6 {
+			f.announce("quotes", 6)
+			f.pass(500*time.Millisecond, 50*time.Millisecond)
+		}
+		require.Equal(t, c.ejected, f.d.table.Endpoint(bad).IsEjected())
+	}
+}
+
+// Guards against long work that is not recognised beforehand and goes on to
+// count as short.
+func TestRunningWorkTurnsLong(t *testing.T) {
+	f := newFixture(Config{})
+	f.announce("quotes", 2)
+	for id := range uint64(20) {
+		f.step(Arrive{Request: f.request(id+1, true)})
+		f.step(Finished{ID: id + 1, Attempt: 1, Outcome: AttemptAnswered, RunTime: time.Millisecond})
+	}
+	f.step(Arrive{Request: f.request(100, true)})
+	require.Equal(t, 0, f.d.Use()[0].Long)
+	f.pass(100*time.Millisecond, 10*time.Millisecond)
+	require.Equal(t, 1, f.d.Use()[0].Long)
+	f.step(Finished{ID: 100, Attempt: 1, Outcome: AttemptAnswered, RunTime: 100 * time.Millisecond})
+	require.Empty(t, f.d.Use())
+}
+
+// Guards against a caller that waits past its deadline, whatever its request
+// waits for.
+func TestDeadlinePassesEverywhere(t *testing.T) {
+	f := newFixture(Config{})
+	f.announce("quotes", 1)
+	for id := range uint64(9) {
+		f.step(Arrive{Request: f.request(id+1, true)})
+	}
+	f.step(Arrive{Request: f.request(10, false)})
+	f.pass(10500*time.Millisecond, 100*time.Millisecond)
+	answers := map[uint64]Answer{}
+	for _, a := range of[Answer](f.effects) {
+		require.NotContains(t, answers, a.ID)
+		answers[a.ID] = a
+	}
+	require.Len(t, answers, 10)
+	require.Equal(t, fault.RanUnknown, answers[1].Ran)
+	require.Equal(t, fault.DeadlineExceeded, answers[1].Err.Kind)
+	require.Equal(t, fault.RanNo, answers[9].Ran)
+	require.Equal(t, fault.RanNo, answers[10].Ran)
+	require.Len(t, of[Abort](f.effects), 8)
+	// A begin that is taken late is closed as not run.
+	require.Equal(t, []Record{{ID: 10, Phase: RecordDidNotRun}}, of[Record](f.step(Recorded{ID: 10, Phase: RecordBegin})))
+}
--- a/internal/core/dispatch/event.go
+++ b/internal/core/dispatch/event.go
@@ -70,6 +70,10 @@
 	Detail  string
 	// RunTime is how long the endpoint had the request.
 	RunTime time.Duration
+	// SlotsInUse is the number of slots in use that the endpoint stated in its
+	// answer or refusal, without this attempt. It holds only if Stated is set.
+	SlotsInUse int
+	Stated     bool
 }
 
 // Recorded is the answer of the control replicas to a Record. Err is nil if
--- a/internal/core/dispatch/finish.go
+++ b/internal/core/dispatch/finish.go
@@ -32,6 +32,9 @@
 	}
 	d.running.remove(r)
 	d.table.End(r.endpoint, r.long)
+	if e.Stated {
+		d.table.Stated(r.endpoint, e.SlotsInUse, at)
+	}
 	r.verdict = outcome.Sum(r.verdict, verdictOf(e.Outcome))
 	r.detail = e.Detail
 	d.judge(at, r, e)
@@ -77,10 +80,10 @@
 }
 
 // refused lets a request wait again after an endpoint had no free slot. A
-// further attempt takes a token of the retry budget, so that endpoints that
+// further attempt takes a token that successes feed, so that endpoints that
 // refuse everything get no storm; without a token it waits for one.
 func (d *Dispatcher) refused(at time.Duration, r *request) {
-	if d.budget.Take() {
+	if d.budget.TakeMove() {
 		r.line.queue.Return(&r.item)
 		return
 	}
@@ -120,7 +123,7 @@
 		d.expired(r)
 		return
 	}
-	if !r.paid && !d.budget.Take() {
+	if !r.paid && !d.budget.TakeMove() {
 		d.delay(r, at+d.budget.Delay(retry.MaxAttempts))
 		return
 	}
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -10,8 +10,18 @@
 	// DefaultSlack keeps the chance that short work finds no slot near 1% for
 	// random arrivals (square-root staffing).
 	DefaultSlack = 2.2
-	// demandSpan is the span over which the demand of short work is averaged.
-	demandSpan = 100 * time.Millisecond
+	// demandSpan averages the demand of short work. If this entry host's own
+	// demand points to more than surgeRatio times the average, riseSpan holds:
+	// a surge is answered before long work fills the slots.
+	demandSpan = 300 * time.Millisecond
+	riseSpan   = 30 * time.Millisecond
+	surgeRatio = 2
+	// peakSpan is how long a peak of the demand of short work is remembered:
+	// several surges of a queue.
+	peakSpan = time.Minute
+	// PeakWait is how long long work waits before it may take the slots that
+	// only a remembered peak needs. The demand of a new surge is known by then.
+	PeakWait = 250 * time.Millisecond
 	// shareSpan is the span over which this entry host's share of the load is
 	// averaged.
 	shareSpan = 2 * time.Second
@@ -27,13 +37,27 @@
 	// reserve is the number of slots kept for short work on all endpoints, and
 	// longLimit the number of this entry host's long attempts.
 	reserve, longLimit int
-	long               int
-	inUse              int
+	// peak and peakLimit are the same for long work that has not waited yet: by
+	// the highest demand of short work that is remembered.
+	peak, peakLimit int
+	held            float64
+	long            int
+	inUse           int
+}
+
+// limit is the number of long attempts that this entry host may run.
+func (d *demand) limit(aged bool) int {
+	if aged {
+		return d.longLimit
+	}
+	return d.peakLimit
 }
 
 // Wish is what is asked of Pick.
 type Wish struct {
 	Long bool
+	// Aged is set for long work that has waited for PeakWait.
+	Aged bool
 	// Not is the endpoint of the former attempt, which is avoided.
 	Not *Endpoint
 }
@@ -48,7 +72,7 @@
 			return e
 		}
 	}
-	if w.Long && t.cfg.Placement == SplitLearned && s.demand.long >= s.demand.longLimit {
+	if w.Long && t.cfg.Placement == SplitLearned && s.demand.long >= s.demand.limit(w.Aged) {
 		return nil
 	}
 	var best *Endpoint
@@ -113,10 +137,10 @@
 	if free <= 0 {
 		return 0, false
 	}
-	if w.Long && t.cfg.Placement == SplitLearned && e.Long+e.peerLong >= e.Slots-e.reserve() {
+	if w.Long && t.cfg.Placement == SplitLearned && e.Long+e.peerLong >= e.Slots-e.reserve(w.Aged) {
 		return 0, false
 	}
-	v := e.Slots - e.InUse - e.peers
+	v := e.Slots - e.InUse - e.others(now)
 	if w.Not != nil {
 		if e.Zone != w.Not.Zone {
 			v += otherZone
@@ -128,15 +152,21 @@
 	return v, true
 }
 
-// reserve is the number of slots of the endpoint that long work must leave.
-func (e *Endpoint) reserve() int {
+// reserve is the number of slots of the endpoint that long work must leave. It
+// is one less than the endpoint's part of the whole reserve, which bounds long
+// work in the service, because what peers run is known with a lag.
+func (e *Endpoint) reserve(aged bool) int {
 	s := e.service
 	n := len(s.endpoints)
-	r := s.demand.reserve / n
-	if e.order < s.demand.reserve%n {
+	whole := s.demand.peak
+	if aged {
+		whole = s.demand.reserve
+	}
+	r := whole / n
+	if e.order < whole%n {
 		r++
 	}
-	return r
+	return max(r-1, 1)
 }
 
 func (s *Service) randomIndex(n int) int {
@@ -190,22 +220,39 @@
 	}
 	step := float64(now - d.at)
 	d.at = now
-	quick := 1 - math.Exp(-step/float64(demandSpan))
 	slow := 1 - math.Exp(-step/float64(shareSpan))
-	current := d.inUse - d.long + waiting + peers - peerLong
-	d.short += quick * (float64(current) - d.short)
 	d.own += slow * (float64(d.inUse+waiting) - d.own)
 	d.peers += slow * (float64(peers) - d.peers)
-	need := int(math.Ceil(d.short + t.cfg.Slack*math.Sqrt(d.short)))
+	share := t.ownShare(d)
+	// The reports of peers are old when a surge begins, so the demand of all is
+	// also inferred from this entry host's own.
+	own := d.inUse - d.long + waiting
+	current := float64(own + peers - peerLong)
+	span := demandSpan
+	if inferred := float64(own) / share; inferred > surgeRatio*max(d.short, 1) {
+		current = max(current, inferred)
+		span = riseSpan
+	}
+	d.short += (1 - math.Exp(-step/float64(span))) * (current - d.short)
+	need := d.short + t.cfg.Slack*math.Sqrt(d.short)
+	d.held = max(need, d.held*math.Exp(-step/float64(peakSpan)))
 	// Long work keeps one slot of every endpoint, so that it never starves, and
 	// short work another one, so that a surge finds room.
 	n := len(s.endpoints)
-	d.reserve = min(max(need, n), max(s.slots-n, 0))
-	share := 1.0
-	if len(t.peers) > 0 && d.own+d.peers > 0 {
-		share = max(d.own/(d.own+d.peers), 1/float64(len(t.members)))
-	}
+	bound := func(v float64) int { return min(max(int(math.Ceil(v)), n), max(s.slots-n, 0)) }
+	d.reserve = bound(need)
+	d.peak = bound(d.held)
 	d.longLimit = max(int(math.Round(share*float64(s.slots-d.reserve))), 1)
+	d.peakLimit = max(int(math.Round(share*float64(s.slots-d.peak))), 1)
+}
+
+// ownShare is this entry host's share of the recent load, at least an equal
+// share among the entry hosts.
+func (t *Table) ownShare(d *demand) float64 {
+	if len(t.peers) == 0 || d.own+d.peers <= 0 {
+		return 1
+	}
+	return max(d.own/(d.own+d.peers), 1/float64(len(t.members)))
 }
 
 // Reserve is the number of slots kept for short work, for reports.
--- a/internal/core/route/share.go
+++ b/internal/core/route/share.go
@@ -21,8 +21,11 @@
 	// refusalsFail is the number of refusals in a row, with the blocks between
 	// them about 0.7 s, after which full slots do not explain them.
 	refusalsFail = 20
-	// lendSlack is the number of slots that are not lent, for owners that
-	// started work since their last report.
+	// statedSpan is how long the statement of an endpoint outweighs the reports
+	// of peers, which come every 250 ms.
+	statedSpan = 100 * time.Millisecond
+	// lendSlack is the number of slots that are not lent on an endpoint that
+	// others use, for work that they started since their last report.
 	lendSlack = 1
 )
 
@@ -134,16 +137,35 @@
 		}
 		return e.Slots - e.InUse
 	case ShareFeedback:
-		return e.Slots - e.InUse - e.peers
+		return e.Slots - e.InUse - e.others(now)
 	case ShareCredits:
 		if len(t.peers) == 0 {
 			return e.Slots - e.InUse
 		}
-		return max(min(e.quota, e.Slots)-e.InUse, e.Slots-lendSlack-e.InUse-e.peers)
+		lent := e.Slots - e.InUse - e.others(now)
+		if e.others(now) > 0 {
+			lent -= lendSlack
+		}
+		return max(min(e.quota, e.Slots)-e.InUse, lent)
 	}
 	return 0
 }
 
+// Stated notes the number of slots in use by the endpoint's own statement.
+func (t *Table) Stated(e *Endpoint, inUse int, now time.Duration) {
+	e.stated = max(inUse-e.InUse, 0)
+	e.statedUntil = now + statedSpan
+}
+
+// others is the number of slots that other entry hosts use: by the endpoint's
+// statement while it is fresh, else by the reports of the peers.
+func (e *Endpoint) others(now time.Duration) int {
+	if now < e.statedUntil {
+		return e.stated
+	}
+	return e.peers
+}
+
 // Refused notes that the endpoint had no free slot. An endpoint that goes on
 // refusing while this entry host uses none of its slots counts as failed.
 func (t *Table) Refused(e *Endpoint, now time.Duration) {
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -71,6 +71,9 @@
 	// peers and peerLong are the slots that peers report; busy is set if a
 	// peer has work waiting.
 	peers, peerLong int
+	// stated is what others use by the endpoint's own statement.
+	stated      int
+	statedUntil time.Duration
 	// quota is this entry host's share of the slots.
 	quota int
 	home  bool
--- /dev/null
+++ b/internal/evaluate/trace.go
@@ -0,0 +1,128 @@
+// Package evaluate compares the traffic policies of entry hosts on recorded
+// traces: a discrete-event model of one service, in which the real dispatchers
+// decide. It is deterministic and has no input or output.
+package evaluate
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+)
+
+// Deployment is the shape of one service of a user.
+type Deployment struct {
+	Name       string
+	Executors  int
+	Slots      int
+	EntryHosts int
+	Zones      int
+	// LocalDelay and ZoneDelay are one way, within a zone and between zones.
+	LocalDelay, ZoneDelay time.Duration
+	// ShortRun is the mean run time of short work.
+	ShortRun time.Duration
+}
+
+// Deployments returns the services of the two users by the design page.
+func Deployments() []Deployment {
+	return []Deployment{
+		{Name: "slidecraft", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 500 * time.Microsecond, ShortRun: 4 * time.Millisecond},
+		{Name: "memoria-vie", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 1500 * time.Microsecond, ShortRun: 8 * time.Millisecond},
+	}
+}
+
+// Load is what arrives. The defaults of DefaultLoad were set before the first
+// run and are not fitted to results.
+type Load struct {
+	// SurgeLoad is the work that arrives in a surge, as a share of all slots.
+	SurgeLoad float64
+	// Surge and Lull are the lengths of the two states: with 5 times and 1/20
+	// of the mean rate they give the mean over a cycle.
+	Surge, Lull time.Duration
+	Cycles      int
+	// LongShare of the requests take LongFactor times as long as short work;
+	// Known of them can be told by work kind and size.
+	LongShare  float64
+	LongFactor int
+	Known      float64
+	// NoLong gives every request the run time of short work.
+	NoLong bool
+	// OneHost sends everything to one entry host.
+	OneHost bool
+}
+
+// DefaultLoad is the load of the design page: surges of 5 times the mean for 3
+// seconds, more than the pool holds, then 1/20 of the mean; 5% of work takes 50
+// times longer.
+func DefaultLoad() Load {
+	return Load{SurgeLoad: 1.2, Surge: 3 * time.Second, Lull: 12600 * time.Millisecond, Cycles: 4, LongShare: 0.05, LongFactor: 50, Known: 0.8}
+}
+
+// lullRatio is the rate in a lull by the rate in a surge: 1/20 by 5.
+const lullRatio = 1.0 / 100
+
+// Arrival is one request of a trace.
+type Arrival struct {
+	At       time.Duration
+	Run      time.Duration
+	Entry    int
+	Caller   string
+	WorkKind string
+	Size     int
+	Long     bool
+	Surge    bool
+	// Learning marks the first cycle, which is not measured.
+	Learning bool
+}
+
+// Trace draws the arrivals of a load. The same seed gives the same arrivals
+// for every policy, with or without long work.
+func Trace(d Deployment, l Load, seed uint64) []Arrival {
+	random := rand.New(rand.NewPCG(seed, 7))
+	mean := d.ShortRun.Seconds() * (1 - l.LongShare + l.LongShare*float64(l.LongFactor))
+	surgeRate := l.SurgeLoad * float64(d.Executors*d.Slots) / mean
+	var list []Arrival
+	cycle := l.Surge + l.Lull
+	at := time.Duration(0)
+	for {
+		rate := surgeRate
+		if at%cycle >= l.Surge {
+			rate *= lullRatio
+		}
+		next := at + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
+		if boundary := at - at%cycle + l.Surge; at < boundary && next > boundary {
+			at = boundary
+			continue
+		}
+		if boundary := at - at%cycle + cycle; next > boundary {
+			next = boundary
+		}
+		at = next
+		if at >= cycle*time.Duration(l.Cycles) {
+			return list
+		}
+		a := draw(random, d, l)
+		a.At = at
+		a.Surge = at%cycle < l.Surge
+		a.Learning = at < cycle
+		list = append(list, a)
+	}
+}
+
+func draw(random *rand.Rand, d Deployment, l Load) Arrival {
+	a := Arrival{
+		Run:   time.Duration(random.ExpFloat64()*float64(d.ShortRun)) + 100*time.Microsecond,
+		Entry: random.IntN(d.EntryHosts), Caller: "caller-" + strconv.Itoa(random.IntN(20)),
+		WorkKind: "quote", Size: 500 + random.IntN(3000), Long: random.Float64() < l.LongShare,
+	}
+	if random.Float64() < l.Known && a.Long {
+		a.WorkKind = "batch"
+		a.Size = 64000
+	}
+	if l.OneHost {
+		a.Entry = 0
+	}
+	if a.Long && !l.NoLong {
+		a.Run *= time.Duration(l.LongFactor)
+	}
+	return a
+}
