Store times in UTC, test replicas with the planner's commands, log changes

Cause: a stored time kept the offset of its writer. Decoders turn an offset into another value than the same instant elsewhere, and Apply compares status with ==, so replicas in different time zones could disagree on whether a status step is an event. The property test of the replicas had no step commands. The catalogue's events of accepted and refused changes were never logged.

Change: the stored form writes UTC. The property test draws host, wave, task and status steps on a state that has something to act on, and compares the whole dumps after every command.

--- a/internal/api/resources.go
+++ b/internal/api/resources.go
@@ -8,6 +8,7 @@
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
+	"laburnumdock/internal/logevent"
 )
 
 // List is the answer to a list. Watching continues from Version.
@@ -144,7 +145,7 @@
 	}
 	if dry {
 		if snap := a.read(w, r); snap != nil {
-			writeChange(w, snap.Evaluate(cmd)[0], true)
+			a.writeChange(w, r, snap.Evaluate(cmd)[0], true)
 		}
 		return
 	}
@@ -153,21 +154,34 @@
 		answer.WriteError(w, err)
 		return
 	}
-	writeChange(w, res, false)
+	a.writeChange(w, r, res, false)
 }
 
-func writeChange(w http.ResponseWriter, res state.Result, dry bool) {
+func (a *api) writeChange(w http.ResponseWriter, r *http.Request, res state.Result, dry bool) {
 	if res.Replayed {
 		w.Header().Set(ReplayedHeader, "true")
 	}
+	if !dry {
+		w.Header().Set(VersionHeader, strconv.FormatUint(res.Version, 10))
+		a.logChange(r, res)
+	}
 	if res.Err != nil {
 		answer.WriteError(w, res.Err)
 		return
 	}
-	if !dry {
-		w.Header().Set(VersionHeader, strconv.FormatUint(res.Version, 10))
-	}
 	answer.WriteJSON(w, http.StatusOK, Change{
 		Version: res.Version, Kind: res.Key.Kind, Name: res.Key.Name, Replayed: res.Replayed, DryRun: dry, Object: res.Object,
 	})
 }
+
+func (a *api) logChange(r *http.Request, res state.Result) {
+	fields := logevent.Fields{
+		"actor": actorOf(r), "source": r.RemoteAddr, "method": r.Method, "kind": res.Key.Kind, "resource": res.Key.Name,
+		"version": res.Version, "change": r.Header.Get(ChangeIDHeader), "replayed": res.Replayed,
+	}
+	if res.Err == nil {
+		a.Log.Log(logevent.ChangeAccepted, fields)
+		return
+	}
+	a.Log.Err(logevent.ChangeRefused, res.Err, fields)
+}
--- a/internal/api/verbs.go
+++ b/internal/api/verbs.go
@@ -96,7 +96,7 @@
 		answer.WriteError(w, err)
 		return
 	}
-	writeChange(w, res, body.dry)
+	a.writeChange(w, r, res, body.dry)
 }
 
 // verbRequest is a verb as the client sent it.
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -19,7 +19,10 @@
 )
 
 func mustEnc() cbor.EncMode {
-	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339Nano, TimeTag: cbor.EncTagRequired}.EncMode()
+	// Times are stored in UTC: a decoder turns the offset of its own time zone
+	// into another value than the same offset elsewhere, and replicas compare
+	// times with ==.
+	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339NanoUTC, TimeTag: cbor.EncTagRequired}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// Guards against replicas in different time zones that keep different values
+// of one time, which == tells apart.
+func TestTimesAreStoredInUTC(t *testing.T) {
+	local := at.In(time.FixedZone("somewhere", 5*3600+1800))
+	data, err := EncodeCommand(state.Tick{Origin: state.Origin{Time: local}})
+	require.NoError(t, err)
+	cmd, err := DecodeCommand(data)
+	require.NoError(t, err)
+	require.Equal(t, state.Tick{Origin: state.Origin{Time: at}}, cmd)
+}
+
 // Guards against an answer that changes on its way from the leader.
 func TestResultsSurviveTheStoredForm(t *testing.T) {
 	host := &model.Host{Meta: model.Meta{Kind: model.KindHost, Name: "h", Created: at, Modified: at}}
--- a/internal/core/state/property_test.go
+++ b/internal/core/state/property_test.go
@@ -20,6 +20,24 @@
 	return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n-1).Draw(t, prefix))
 }
 
+// declared is a state with two pools, two hosts and a budget, so that random
+// commands often have something to act on.
+func declared() *state.State {
+	s := state.New()
+	for _, obj := range []model.Object{
+		&model.Pool{Meta: model.Meta{Kind: model.KindPool, Name: "n0"}},
+		&model.Pool{Meta: model.Meta{Kind: model.KindPool, Name: "n1"}},
+		&model.Host{Meta: model.Meta{Kind: model.KindHost, Name: "n0"}, Spec: model.HostSpec{Pool: "n0", Zone: "a", Rack: "r", Cores: 1, MemoryMB: 1}},
+		&model.Host{Meta: model.Meta{Kind: model.KindHost, Name: "n1"}, Spec: model.HostSpec{Pool: "n0", Zone: "a", Rack: "r", Cores: 1, MemoryMB: 1}},
+		&model.Budget{Meta: model.Meta{Kind: model.KindBudget, Name: "n0"}, Spec: model.BudgetSpec{Pool: "n0", MaxPlannedStops: 2}},
+		&model.Job{Meta: model.Meta{Kind: model.KindJob, Name: "n0"}, Spec: model.JobSpec{Pool: "n0", Tasks: 2}},
+		&model.Wave{Meta: model.Meta{Kind: model.KindWave, Name: "n0"}, Spec: model.WaveSpec{Pools: []string{"n0"}, Started: true}},
+	} {
+		s.Apply(s.Version()+1, state.Put{Origin: state.Origin{Time: epoch}, Object: obj})
+	}
+	return s
+}
+
 func drawObject(t *rapid.T) model.Object {
 	kind := rapid.SampledFrom(model.Kinds()).Draw(t, "kind")
 	obj := model.New(kind)
@@ -65,19 +83,59 @@
 	}
 }
 
-func drawCommand(t *rapid.T) state.Command {
+func drawCommand(t *rapid.T, s *state.State) state.Command {
 	expected := rapid.SampledFrom([]uint64{0, 1, 2, 3, 5, 8, state.AnyVersion, state.AnyVersion, state.AnyVersion}).Draw(t, "expected")
-	switch rapid.IntRange(0, 9).Draw(t, "command") {
+	switch rapid.IntRange(0, 16).Draw(t, "command") {
 	case 0, 1, 2, 3, 4, 5:
 		return state.Put{Origin: drawOrigin(t), Object: drawObject(t), Expected: expected}
 	case 6:
 		return state.Delete{Origin: drawOrigin(t), Key: drawObject(t).Head().Key(), Expected: expected}
 	case 7:
-		health := rapid.SampledFrom([]model.Health{model.HealthHealthy, model.HealthUnhealthy}).Draw(t, "health")
-		return state.HostReport{Origin: drawOrigin(t), Hosts: []state.HostObservation{{Host: named(t, "n", 3), Health: health, Observed: epoch.Add(time.Hour)}}}
+		health := rapid.SampledFrom([]model.Health{model.HealthHealthy, model.HealthHealthy, model.HealthUnhealthy}).Draw(t, "health")
+		boot := fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "boot"))
+		return state.HostReport{Origin: drawOrigin(t), Hosts: []state.HostObservation{{Host: named(t, "n", 2), Health: health, BootID: boot, Observed: epoch.Add(time.Hour)}}}
 	case 8:
 		return state.RecordRequests{Origin: drawOrigin(t), Records: []state.RequestRecord{drawRecord(t), drawRecord(t)}}
 	}
+	return drawStep(t, s)
+}
+
+// versionOf returns the version of a resource, now and then a wrong one.
+func versionOf(t *rapid.T, s *state.State, kind model.Kind, name string) uint64 {
+	obj := s.Get(model.Key{Kind: kind, Name: name})
+	if obj == nil || rapid.IntRange(0, 9).Draw(t, "outdated") == 0 {
+		return 1
+	}
+	return obj.Head().Version
+}
+
+// drawStep returns a command of the planner.
+func drawStep(t *rapid.T, s *state.State) state.Command {
+	name := named(t, "n", 2)
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0, 1, 2:
+		phases := []model.HostPhase{model.HostActive, model.HostDraining, model.HostDrained, model.HostRebooting, model.HostReturning}
+		step := state.HostStep{Origin: drawOrigin(t), Host: name, Expected: versionOf(t, s, model.KindHost, name), To: rapid.SampledFrom(phases).Draw(t, "to")}
+		step.Cancel = rapid.IntRange(0, 5).Draw(t, "cancel") == 0
+		step.Stop = &model.PlannedStop{Action: rapid.SampledFrom([]model.StopAction{model.StopDrain, model.StopReboot, model.StopMove}).Draw(t, "action")}
+		if step.Stop.Action == model.StopMove {
+			step.Stop.TargetPool = named(t, "n", 3)
+		}
+		return step
+	case 3:
+		phase := rapid.SampledFrom([]model.WavePhase{model.WaveRunning, model.WavePaused, model.WaveFinished}).Draw(t, "phase")
+		return state.WaveStep{Origin: drawOrigin(t), Wave: name, Expected: versionOf(t, s, model.KindWave, name), Status: model.WaveStatus{Phase: phase, Total: 1}}
+	case 4:
+		states := []model.TaskState{model.TaskPending, model.TaskStarting, model.TaskRunning, model.TaskFinished}
+		task := model.Task{State: rapid.SampledFrom(states).Draw(t, "task"), Host: named(t, "n", 3), Epoch: uint64(rapid.IntRange(0, 2).Draw(t, "epoch")), LeaseUntil: epoch.Add(time.Hour)}
+		return state.TaskStep{Origin: drawOrigin(t), Job: name, Expected: versionOf(t, s, model.KindJob, name), Tasks: []model.Task{task}}
+	case 5:
+		pool, budget := model.New(model.KindPool).(*model.Pool), model.New(model.KindBudget).(*model.Budget)
+		pool.Name, budget.Name = name, name
+		pool.Status.Healthy = rapid.IntRange(0, 2).Draw(t, "healthy")
+		budget.Status = model.BudgetStatus{Healthy: pool.Status.Healthy, Observed: epoch}
+		return state.StatusStep{Origin: drawOrigin(t), Objects: []model.Object{pool, budget}}
+	}
 	return state.Tick{Origin: drawOrigin(t)}
 }
 
@@ -107,15 +165,16 @@
 // in between. Guards as well against versions or time that go back.
 func TestReplicasAgreeAfterRestore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		first, second := state.New(), state.New()
-		commands := rapid.IntRange(1, 60).Draw(t, "commands")
+		first, second := declared(), declared()
+		commands := rapid.IntRange(1, 120).Draw(t, "commands")
 		restoreAt := rapid.IntRange(0, commands-1).Draw(t, "restoreAt")
 		versions := make(map[model.Key]uint64)
 		for i := range commands {
-			cmd := drawCommand(t)
+			cmd := drawCommand(t, first)
 			before := first.Now()
-			a := first.Apply(uint64(i+1), cmd)
-			b := second.Apply(uint64(i+1), recoded(t, cmd))
+			index := first.Version() + 1
+			a := first.Apply(index, cmd)
+			b := second.Apply(index, recoded(t, cmd))
 			require.Equal(t, resultBytes(t, a), resultBytes(t, b))
 			require.False(t, first.Now().Before(before), "time went back")
 			checkVersions(t, first.Snapshot(), versions)
@@ -183,7 +242,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := state.New()
 		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
-			s.Apply(uint64(i+1), drawCommand(t))
+			s.Apply(uint64(i+1), drawCommand(t, s))
 		}
 		snap := s.Snapshot()
 		rebuilt := make(map[model.Key]uint64)
