--- a/internal/core/state/task.go
+++ b/internal/core/state/task.go
@@ -34,7 +34,8 @@
 }
 
 func (s *State) stepTask(job *model.Job, next model.Task) *fault.Error {
-	if next.Index < 0 || next.Index >= job.Spec.Tasks {
+	// A job that was made smaller still ends the tasks above its size.
+	if next.Index < 0 || next.Index >= max(job.Spec.Tasks, len(job.Status.Tasks)) {
 		return fault.Field("tasks.index", "below spec.tasks", "value is %d", next.Index)
 	}
 	for len(job.Status.Tasks) <= next.Index {
@@ -64,8 +65,8 @@
 	if HoldsLease(before.State) && before.LeaseUntil.After(s.now) {
 		return fault.New(fault.Conflict, "task %d of job %s holds a lease on host %s until %s", before.Index, job.Name, before.Host, before.LeaseUntil)
 	}
-	if job.Spec.Cancelled {
-		return fault.New(fault.Cancelled, "job %s is cancelled", job.Name)
+	if job.Spec.Cancelled || next.Index >= job.Spec.Tasks {
+		return fault.New(fault.Cancelled, "task %d of job %s is cancelled", next.Index, job.Name)
 	}
 	return s.checkTaskHost(job, next)
 }
