--- a/internal/entry/controlclient.go
+++ b/internal/entry/controlclient.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/rotisserie/eris"
 
 	pb "laburnumdock/gen/laburnumdock/v1"
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
@@ -24,8 +23,11 @@
 	// controlPing is after how much silence an HTTP/2 ping is sent, and how
 	// long its answer may take.
 	controlPing = time.Second
-	// markTimeout ends a stream that has sent progress marks and then stops.
-	markTimeout = 3 * time.Second
+	// markTimeout ends a stream without changes and progress marks. Until the
+	// first mark from any replica, it is not known that they send them, and
+	// quietTimeout holds: the stream is resumed, which costs one call.
+	markTimeout  = 3 * time.Second
+	quietTimeout = 10 * time.Second
 	// listTimeout bounds the wait for the first message and between the
 	// messages of a list.
 	listTimeout = 3 * time.Second
@@ -40,6 +42,7 @@
 	errLagging = errors.New("replica is behind the configuration in force")
 	errCutOff  = errors.New("replica is cut off from the others")
 	errEnded   = errors.New("stream ended")
+	errSilence = errors.New("stream is silent")
 )
 
 // watchedKinds are the resources that an entry host follows.
@@ -77,6 +80,8 @@
 	// once none of the replicas could be followed.
 	failures int
 	lost     bool
+	// marks is set once a replica has sent a progress mark.
+	marks bool
 	// current is what other goroutines read.
 	current atomic.Pointer[ConfigStatus]
 }
@@ -107,10 +112,11 @@
 	next := rand.IntN(len(c.clients))
 	for ctx.Err() == nil {
 		progress, err := c.follow(ctx, next)
-		c.noteLost(ctx, next, err)
 		if progress {
 			delay = reconnectDelay
+			c.failures = 0
 		}
+		c.noteLost(ctx, next, err)
 		wait := delay/2 + rand.N(delay)
 		if fault.KindOf(kindError(err)) == fault.Compacted {
 			c.relist = true
@@ -124,11 +130,11 @@
 	return nil
 }
 
-// follow reads one stream to its end and tells whether it brought anything.
+// follow reads one stream to its end and tells whether the replica was of use.
 func (c *controlClient) follow(ctx context.Context, index int) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(listTimeout, func() { cancel(eris.New("stream is silent")) })
+	silent := time.AfterFunc(c.silenceLimit(), func() { cancel(errSilence) })
 	defer silent.Stop()
 	stream, err := c.clients[index].Watch(ctx, connect.NewRequest(&pb.WatchRequest{
 		FromVersion: c.config.version, ListFirst: c.relist, Kinds: watchedKinds,
@@ -138,29 +144,16 @@
 	}
 	defer stream.Close()
 	go c.watchFreshness(ctx, index, cancel)
-	if !c.relist {
-		// A stream without changes may stay silent unless the replica sends
-		// progress marks; HTTP/2 pings watch the connection below it.
-		silent.Stop()
-	}
 	progress := false
 	for stream.Receive() {
-		marked, err := c.take(stream.Msg(), index)
-		if err != nil {
+		if err := c.take(stream.Msg(), index); err != nil {
 			return progress, err
 		}
 		progress = true
-		switch {
-		case c.relist:
-			silent.Reset(listTimeout)
-		case marked:
-			silent.Reset(markTimeout)
-		default:
-			silent.Stop()
-		}
+		silent.Reset(c.silenceLimit())
 	}
 	if cause := context.Cause(ctx); cause != nil {
-		return progress, cause
+		return progress || !c.marks && errors.Is(cause, errSilence), cause
 	}
 	if err := stream.Err(); err != nil {
 		return progress, err
@@ -168,19 +161,32 @@
 	return progress, errEnded
 }
 
-// take applies one message and tells whether it is a progress mark.
-func (c *controlClient) take(msg *pb.WatchResponse, index int) (bool, error) {
+// silenceLimit is how long the stream may bring nothing.
+func (c *controlClient) silenceLimit() time.Duration {
+	switch {
+	case c.relist:
+		return listTimeout
+	case c.marks:
+		return markTimeout
+	default:
+		return quietTimeout
+	}
+}
+
+// take applies one message.
+func (c *controlClient) take(msg *pb.WatchResponse, index int) error {
 	if c.relist {
-		return false, c.takeList(msg, index)
+		return c.takeList(msg, index)
 	}
 	if msg.GetVersion() < c.config.version {
-		return false, errLagging
+		return errLagging
 	}
 	if err := c.config.apply(msg); err != nil {
-		return false, err
+		return err
 	}
+	c.marks = c.marks || msg.GetKind() == ""
 	c.publish(index)
-	return msg.GetKind() == "", nil
+	return nil
 }
 
 // takeList collects a list and puts it in force once it is whole and not older
