Run the entry host against real control replicas

Cause: the tests used fake control replicas only, so a difference between the two sides would have stayed unseen.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -172,17 +172,28 @@
 	return h, failed.Load()
 }
 
-// BenchmarkRecordedRequest measures a request that must not be repeated: two
-// records through a control replica without a disk, against one without.
+// BenchmarkRecordedRequest measures a request that must not be repeated against
+// one without records: with two records through a control replica without a
+// disk, and through three that sync to disk.
 func BenchmarkRecordedRequest(b *testing.B) {
-	control := newFakeControl(b)
-	c := newCell(b, cellConfig{endpoints: benchEndpoints, control: []string{control.start().url}})
-	for _, once := range []bool{false, true} {
-		b.Run(fmt.Sprintf("once=%t", once), func(b *testing.B) {
+	replicas := startReplicas(b, 3)
+	putReal(b, replicas, "1")
+	for _, bc := range []struct {
+		name    string
+		once    bool
+		control []string
+	}{
+		{"no records", false, []string{newFakeControl(b).start().url}},
+		{"one replica without a disk", true, []string{newFakeControl(b).start().url}},
+		{"three replicas", true, []string{replicas[0].url, replicas[1].url, replicas[2].url}},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			c := newCell(b, cellConfig{endpoints: benchEndpoints, control: bc.control})
 			b.SetParallelism(4)
+			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					out, err := c.do(c.hosts[0], call{method: http.MethodPut, body: "x", once: once})
+					out, err := c.do(c.hosts[0], call{method: http.MethodPut, body: "x", once: bc.once})
 					if err != nil || out.status != http.StatusOK {
 						b.Errorf("%v %s", err, out.body)
 					}
