--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -13,6 +13,7 @@
 	"laburnumdock/internal/api"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/manifest"
 )
 
 func applyCommand() *cli.Command {
@@ -36,13 +37,13 @@
 		if err != nil {
 			return usagef("%s", err)
 		}
-		objects, err := readManifest(name, data)
+		objects, err := manifest.Read(name, data)
 		if err != nil {
-			return err
+			return usagef("%s", err)
 		}
 		list = append(list, objects...)
 	}
-	sortManifest(list)
+	manifest.Sort(list)
 	client, err := connect(c)
 	if err != nil {
 		return err
--- a/internal/cli/manifest.go
+++ b/internal/manifest/manifest.go
@@ -1,4 +1,5 @@
-package cli
+// Package manifest reads declared resources from files.
+package manifest
 
 import (
 	"bytes"
@@ -14,9 +15,9 @@
 	"laburnumdock/internal/core/model"
 )
 
-// readManifest reads the resources of a file of YAML documents, or JSON, which
+// Read reads the resources of a file of YAML documents, or JSON, which
 // is YAML as well. It refuses unknown fields before anything is sent.
-func readManifest(name string, data []byte) ([]model.Object, error) {
+func Read(name string, data []byte) ([]model.Object, error) {
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	var list []model.Object
 	for n := 1; ; n++ {
@@ -26,14 +27,14 @@
 			return list, nil
 		}
 		if err != nil {
-			return nil, usagef("%s: document %d: %s", name, n, err)
+			return nil, fmt.Errorf("%s: document %d: %w", name, n, err)
 		}
 		if doc == nil {
 			continue
 		}
 		obj, err := decodeDocument(doc)
 		if err != nil {
-			return nil, usagef("%s: document %d: %s", name, n, err)
+			return nil, fmt.Errorf("%s: document %d: %w", name, n, err)
 		}
 		list = append(list, obj)
 	}
@@ -63,9 +64,9 @@
 	return obj, nil
 }
 
-// sortManifest puts resources behind those they refer to. Pools that borrow
+// Sort puts resources behind those they refer to. Pools that borrow
 // come behind the pools they borrow from.
-func sortManifest(list []model.Object) {
+func Sort(list []model.Object) {
 	kinds := model.Kinds()
 	rank := func(obj model.Object) int {
 		r := 2 * slices.Index(kinds, obj.Head().Kind)
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,9 @@
 	ledger   *ledger
 	// stop ends what hangs when the endpoint stops.
 	stop chan struct{}
+	// kill is closed by Kill.
+	kill     chan struct{}
+	killOnce sync.Once
 }
 
 // NewEndpoint listens on address.
@@ -71,7 +75,7 @@
 	if cfg.RunTime == nil {
 		cfg.RunTime = func(string) time.Duration { return 0 }
 	}
-	e := &Endpoint{cfg: cfg, slots: make(chan struct{}, a.Slots), ledger: newLedger(), stop: make(chan struct{})}
+	e := &Endpoint{cfg: cfg, slots: make(chan struct{}, a.Slots), ledger: newLedger(), stop: make(chan struct{}), kill: make(chan struct{})}
 	e.listener = &faultListener{Listener: l, limit: a.Connections, open: make(map[*faultConn]struct{})}
 	e.fault.Store(&Fault{})
 	return e, nil
@@ -103,6 +107,10 @@
 		case <-ctx.Done():
 		case <-inner.Done():
 			return nil
+		case <-e.kill:
+			close(e.stop)
+			e.listener.closeSilent()
+			return server.Close()
 		}
 		e.leaving.Store(true)
 		close(leave)
@@ -112,6 +120,10 @@
 	return group.Wait()
 }
 
+// Kill ends the endpoint at once: it announces nothing, and requests in flight
+// lose their connections.
+func (e *Endpoint) Kill() { e.killOnce.Do(func() { close(e.kill) }) }
+
 // shutdown waits for the requests in flight. What hangs by a fault is ended
 // first, and silent connections are closed.
 func (e *Endpoint) shutdown(server *http.Server) error {
--- a/internal/standin/endpoint_ledger.go
+++ b/internal/standin/endpoint_ledger.go
@@ -56,6 +56,13 @@
 	return slices.Sorted(maps.Keys(l.running))
 }
 
+// Running returns the number of requests that the endpoint has.
+func (e *Endpoint) Running() int {
+	e.ledger.mu.Lock()
+	defer e.ledger.mu.Unlock()
+	return len(e.ledger.running)
+}
+
 // Runs returns how often each request ran, by the caller's request ID or, for
 // a request without one, by the ID of the attempt.
 func (e *Endpoint) Runs() map[string]int {
