Carry fleet decisions out on the leader

Cause: plans are computed, but nobody proposes them or calls the platform. Change: internal/controller runs on the leader: it fetches listings, proposes reports and plans, and makes the calls that the committed state asks for. Calls are derived from the difference between the committed state and the listing, so a lost call is made again by whichever replica leads, and an older epoch is refused. internal/platform is the HTTP JSON client; the stand-in platform has reboots, leases, a reporting lag and fault switches.

--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,124 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/fleet"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/sched"
+	"laburnumdock/internal/platform"
+	"laburnumdock/internal/standin"
+)
+
+type site struct {
+	t      *testing.T
+	now    time.Time
+	p      *standin.Platform
+	client *platform.Client
+}
+
+func newSite(t *testing.T) *site {
+	x := &site{t: t, now: time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)}
+	x.p = standin.NewPlatform(standin.PlatformConfig{Now: func() time.Time { return x.now }, RebootTime: 10 * time.Second, TaskTime: time.Minute},
+		[]standin.PlatformHost{{Host: "h", Pool: "a", Zone: "z", Rack: "r"}, {Host: "i", Pool: "a", Zone: "z", Rack: "s"}})
+	server := httptest.NewServer(x.p.Handler())
+	t.Cleanup(server.Close)
+	x.client = platform.New(server.URL)
+	return x
+}
+
+func (x *site) host(kind fleet.ActionKind, epoch uint64, boot string) error {
+	return x.client.Host(context.Background(), fleet.Action{Kind: kind, Host: "h", Epoch: epoch, Pool: "a", BootID: boot})
+}
+
+func (x *site) task(epoch uint64, stop bool) error {
+	return x.client.Task(context.Background(), sched.Action{Host: "h", Job: "j", Epoch: epoch, Stop: stop, Until: x.now.Add(30 * time.Second), Cores: 2}, x.now)
+}
+
+func (x *site) list() platform.Listing {
+	x.t.Helper()
+	l, err := x.client.List(context.Background())
+	require.NoError(x.t, err)
+	return l
+}
+
+// Guards against a leader that lost its office and undoes what its successor
+// decided.
+func TestOlderEpochIsRefused(t *testing.T) {
+	x := newSite(t)
+	require.NoError(t, x.host(fleet.ActionServe, 1, ""))
+	require.NoError(t, x.host(fleet.ActionDrain, 1, ""))
+	require.Equal(t, fault.Fenced, fault.KindOf(x.host(fleet.ActionServe, 1, "")))
+	require.NoError(t, x.host(fleet.ActionServe, 2, ""))
+	require.Equal(t, fault.Fenced, fault.KindOf(x.host(fleet.ActionDrain, 1, "")))
+	require.Equal(t, fault.Fenced, fault.KindOf(x.host(fleet.ActionReboot, 1, "h-boot-1")))
+	require.False(t, x.list().Hosts[0].Draining)
+}
+
+// Guards against a repeated call that reboots a host twice.
+func TestRepeatedRebootIsOneReboot(t *testing.T) {
+	x := newSite(t)
+	require.NoError(t, x.host(fleet.ActionReboot, 1, "h-boot-1"))
+	require.NoError(t, x.host(fleet.ActionReboot, 1, "h-boot-1"))
+	require.Equal(t, model.HealthUnhealthy, x.list().Hosts[0].Health)
+	x.now = x.now.Add(10 * time.Second)
+	require.NoError(t, x.host(fleet.ActionReboot, 1, "h-boot-1"))
+	h := x.list().Hosts[0]
+	require.Equal(t, model.HealthHealthy, h.Health)
+	require.Equal(t, "h-boot-2", h.BootID)
+}
+
+// Guards against a task that runs without a lease, and a start that comes after
+// the stop of the same placement.
+func TestTaskLivesByItsLease(t *testing.T) {
+	x := newSite(t)
+	require.NoError(t, x.task(1, false))
+	require.Equal(t, 1, x.list().Hosts[0].InFlight)
+	x.now = x.now.Add(30 * time.Second)
+	require.Equal(t, sched.OutcomeStopped, x.list().Tasks[0].Outcome)
+	require.NoError(t, x.task(2, true))
+	require.NoError(t, x.task(2, false))
+	require.Equal(t, sched.OutcomeStopped, x.list().Tasks[0].Outcome)
+	require.Equal(t, fault.Fenced, fault.KindOf(x.task(1, false)))
+}
+
+// Guards against fault switches that do nothing, which tests rely on.
+func TestFaultSwitches(t *testing.T) {
+	x := newSite(t)
+	x.p.FailRack("z", "r", true)
+	require.Equal(t, model.HealthUnhealthy, x.list().Hosts[0].Health)
+	require.Equal(t, model.HealthHealthy, x.list().Hosts[1].Health)
+	x.p.FailRack("z", "r", false)
+	x.p.FailZone("z", true)
+	require.Equal(t, model.HealthUnhealthy, x.list().Hosts[1].Health)
+	x.p.FailZone("z", false)
+	x.p.FailHost("h", true)
+	require.Equal(t, model.HealthUnhealthy, x.list().Hosts[0].Health)
+	x.p.FailHost("h", false)
+	x.p.SetUse(3)
+	require.NoError(t, x.task(1, false))
+	require.Equal(t, 6, x.list().Tasks[0].UsedCores)
+	x.p.FailTasks("h", true)
+	require.Equal(t, sched.OutcomeFailed, x.list().Tasks[0].Outcome)
+	x.p.SetReportLag(time.Minute)
+	x.now = x.now.Add(5 * time.Second)
+	require.Equal(t, int64(5000), x.list().Hosts[0].AgeMs)
+	x.p.SetDown(true)
+	_, err := x.client.List(context.Background())
+	require.Equal(t, fault.Unavailable, fault.KindOf(err))
+}
+
+// Guards against a call to nowhere that looks like a success.
+func TestUnknownHostAndUnreachablePlatform(t *testing.T) {
+	x := newSite(t)
+	err := x.client.Host(context.Background(), fleet.Action{Kind: fleet.ActionDrain, Host: "none", Epoch: 1})
+	require.Equal(t, fault.NotFound, fault.KindOf(err))
+	_, err = platform.New("http://127.0.0.1:1").List(context.Background())
+	require.Equal(t, fault.Unavailable, fault.KindOf(err))
+}
--- /dev/null
+++ b/internal/standin/platform_fault.go
@@ -0,0 +1,56 @@
+package standin
+
+import "time"
+
+// The switches below are the faults of the stand-in platform, for tests and the
+// demo.
+
+func (p *Platform) each(match func(*standinHost) bool, change func(*standinHost)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pass()
+	for _, h := range p.hosts {
+		if match(h) {
+			change(h)
+		}
+	}
+}
+
+// FailHost makes a host fail, or heals it.
+func (p *Platform) FailHost(host string, failed bool) {
+	p.each(func(h *standinHost) bool { return h.Host == host }, func(h *standinHost) { h.failed = failed })
+}
+
+// FailRack makes all hosts of a rack fail, or heals them.
+func (p *Platform) FailRack(zone, rack string, failed bool) {
+	p.each(func(h *standinHost) bool { return h.Zone == zone && h.Rack == rack }, func(h *standinHost) { h.failed = failed })
+}
+
+// FailZone makes all hosts of an availability zone fail, or heals them.
+func (p *Platform) FailZone(zone string, failed bool) {
+	p.each(func(h *standinHost) bool { return h.Zone == zone }, func(h *standinHost) { h.failed = failed })
+}
+
+// FailTasks has a host fail every task that it starts.
+func (p *Platform) FailTasks(host string, bad bool) {
+	p.each(func(h *standinHost) bool { return h.Host == host }, func(h *standinHost) { h.bad = bad })
+}
+
+// SetUse has all hosts report this multiple of the declared sizes as use.
+func (p *Platform) SetUse(factor float64) {
+	p.each(func(*standinHost) bool { return true }, func(h *standinHost) { h.useFactor = factor })
+}
+
+// SetReportLag sets how old listings are.
+func (p *Platform) SetReportLag(lag time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cfg.ReportLag = lag
+}
+
+// SetDown has the platform refuse every call.
+func (p *Platform) SetDown(down bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.down = down
+}
