Run the controller with the control replica

Cause: settings name a platform, but no process calls it, and load reports of entry hosts are refused. Change: dock-control runs the controller if a platform is set.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -10,6 +10,7 @@
 	"laburnumdock/internal/answer"
 	"laburnumdock/internal/codec"
 	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/fleet"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
 )
@@ -18,6 +19,8 @@
 type Service struct {
 	laburnumdockv1connect.UnimplementedControlServiceHandler
 	Replica *Replica
+	// Loads takes the load reports of entry hosts; nil drops them.
+	Loads func([]fleet.Load)
 }
 
 // Watch implements the ControlService.
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -15,8 +15,10 @@
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
 	"laburnumdock/internal/api"
 	"laburnumdock/internal/control"
+	"laburnumdock/internal/controller"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/platform"
 	"laburnumdock/internal/process"
 	"laburnumdock/internal/settings"
 )
@@ -36,15 +38,30 @@
 	if err != nil {
 		return err
 	}
-	return serveReplica(ctx, s, replica, operators, log)
+	return serveReplica(ctx, s, replica, operators, newController(s, replica, log, registry), log)
+}
+
+// newController returns the controller of the replica, or nil if the settings
+// name no platform.
+func newController(s *settings.Control, replica *control.Replica, log *logevent.Logger, registry metrics.Registry) *controller.Controller {
+	if *s.PlatformURL == "" {
+		return nil
+	}
+	return controller.New(controller.Config{
+		Backend: replica, Platform: platform.New(*s.PlatformURL), Interval: *s.PlanInterval, Metrics: registry, Log: log,
+	})
 }
 
 // serveReplica runs the replica, and its listeners for as long as it needs
 // them to hand over leadership.
-func serveReplica(ctx context.Context, s *settings.Control, replica *control.Replica, operators http.Handler, log *logevent.Logger) error {
+func serveReplica(ctx context.Context, s *settings.Control, replica *control.Replica, operators http.Handler, plans *controller.Controller, log *logevent.Logger) error {
 	peers := http.NewServeMux()
 	peers.Handle(replica.RaftHandler())
-	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: replica}))
+	service := &control.Service{Replica: replica}
+	if plans != nil {
+		service.Loads = plans.Observe
+	}
+	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(service))
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
@@ -59,6 +76,9 @@
 		group.Go(func() error { return server.Run(serving) })
 	}
 	log.Log(logevent.ProcessStarted, logevent.Fields{"api": *s.API.Address, "peer": *s.Peer.Address})
+	if plans != nil {
+		group.Go(func() error { return plans.Run(serving) })
+	}
 	group.Go(func() error { return runWhileServing(ctx, serving, stopServing, replica.Run) })
 	err := group.Wait()
 	log.Log(logevent.ProcessStopped, nil)
