Start the time of a lasting need with the first report

Cause: a new leader counted two minutes of reports and then two minutes of need, so a pool waited four minutes; random histories were too short for a move. Change: the need counts from the first report; the warm-up average keeps a surge from counting. Random histories keep the demand over planners. Conclusion: the test that a surge moves nothing still passes.

--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -95,11 +95,10 @@
 	return 0
 }
 
-// known tells whether reports of the service came for at least span, up to
-// shortly before now.
-func (d *Demand) known(service string, now time.Time, span time.Duration) bool {
+// known tells whether there is a recent report of the service.
+func (d *Demand) known(service string, now time.Time) bool {
 	s := d.services[service]
-	return s != nil && now.Sub(s.since) >= span && now.Sub(s.last) <= LoadBound
+	return s != nil && now.Sub(s.last) <= LoadBound
 }
 
 func (d *Demand) setClip(service string, slots float64) {
--- a/internal/core/fleet/history_test.go
+++ b/internal/core/fleet/history_test.go
@@ -24,6 +24,9 @@
 	*world
 	draw     chooser
 	planners [2]*fleet.Planner
+	// demand outlives planners, so that lasting needs come up in short runs.
+	demand *fleet.Demand
+	load   int
 	// old is a snapshot from some steps ago.
 	old *state.Snapshot
 	// pending are the commands of a plan that is not proposed yet.
@@ -31,7 +34,8 @@
 }
 
 func newHistory(draw chooser) *history {
-	h := &history{world: newWorld(), draw: draw, planners: [2]*fleet.Planner{fleet.NewPlanner(nil), fleet.NewPlanner(nil)}}
+	h := &history{world: newWorld(), draw: draw, demand: fleet.NewDemand(), load: 1 + draw(200)}
+	h.planners = [2]*fleet.Planner{fleet.NewPlanner(h.demand), fleet.NewPlanner(h.demand)}
 	h.inFlight = func(string) int { return draw(4) }
 	h.late = func(string) int { return draw(2) }
 	h.pool("spare", func(p *model.PoolSpec) { p.Spare, p.MinDwellSeconds = true, 30 })
@@ -56,7 +60,7 @@
 func (h *history) step() {
 	switch h.draw(16) {
 	case 0, 1, 2, 3:
-		h.advance(time.Duration(200+h.draw(2500)) * time.Millisecond)
+		h.advance(time.Duration(200+h.draw(4000)) * time.Millisecond)
 		h.work()
 		h.report(h.s.Snapshot())
 	case 4:
@@ -91,11 +95,11 @@
 	}
 	pl := h.planners[i]
 	if h.draw(4) == 0 {
-		pl = fleet.NewPlanner(nil)
+		pl = fleet.NewPlanner(h.demand)
 		h.planners[i] = pl
 	}
 	pl.Sync(snap)
-	in := fleet.Input{Loads: []fleet.Load{{EntryHost: "e", Service: "web", InFlight: h.draw(150), Observed: h.now}}}
+	in := fleet.Input{Loads: []fleet.Load{{EntryHost: "e", Service: "web", InFlight: h.draw(h.load), Observed: h.now}}}
 	commands := pl.Plan(in, h.now).Commands
 	cut := h.draw(len(commands) + 1)
 	for _, cmd := range commands[:cut] {
--- a/internal/core/fleet/move.go
+++ b/internal/core/fleet/move.go
@@ -58,13 +58,13 @@
 	// Hosts of a wave come back within minutes; they are no lasting need.
 	capacity := p.capacity.Available + p.waveStops
 	short := capacity < p.minHealthy()
-	busy := pl.demand.known(service, pl.now, NeedFor) && mean > HighUse*float64(capacity)
+	busy := pl.demand.known(service, pl.now) && mean > HighUse*float64(capacity)
 	lasting = held(pl.demand.above, p.name, short || busy, pl.now, NeedFor)
 	if since, ok := pl.demand.above[p.name]; ok && !lasting {
 		pl.result.Next = earliest(pl.result.Next, since.Add(NeedFor))
 	}
 	idle := p.borrowed > 0 && capacity-1 >= p.minHealthy() &&
-		pl.demand.known(service, pl.now, ReleaseFor) && mean < LowUse*float64(capacity-1)
+		pl.demand.known(service, pl.now) && mean < LowUse*float64(capacity-1)
 	release := held(pl.demand.below, p.name, idle, pl.now, ReleaseFor)
 	if since, ok := pl.demand.below[p.name]; ok && !release {
 		pl.result.Next = earliest(pl.result.Next, since.Add(ReleaseFor))
