Run whole deployments in one process, with a demo that judges itself

Cause: the parts were not seen together: no wave had run under load. Change: dock-dev loads the INI files and the manifest of a deployment and runs 3 control replicas, 2 entry hosts and the stand-in platform with 50 executors; its demo starts a wave under load with surges, and compares what callers were told with what the executors ran and the budgets with the platform's own view. dock-standin runs the stand-in as a process of its own.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN := bin
 
-.PHONY: help build run test fmt fmt-check lint unit generate
+.PHONY: help build run demo test fmt fmt-check lint unit generate
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -12,7 +12,10 @@
 	go build -o $(BIN)/ ./cmd/...
 
 run: build ## run the whole system with stand-ins on loopback (DEPLOYMENT=slidecraft or memoria-vie)
-	$(BIN)/dock-dev
+	$(BIN)/dock-dev --deployment examples/$(DEPLOYMENT)
+
+demo: build ## bounded run of the main job: a wave under load (DEMO_FLAGS="--output json")
+	$(BIN)/dock-dev --deployment examples/$(DEPLOYMENT) demo $(DEMO_FLAGS)
 
 test: fmt-check lint unit ## formatter check, linter and all tests
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -120,6 +120,29 @@
 	e.tell(told)
 }
 
+// Size is the number of hosts.
+func (f *Fleet) Size() int { return len(f.executors) }
+
+// Busy is the number of requests that all executors have.
+func (f *Fleet) Busy() int {
+	n := 0
+	for host := range f.executors {
+		n += f.inFlight(host)
+	}
+	return n
+}
+
+// Pools returns the pool of each host that the platform was told of.
+func (f *Fleet) Pools() map[string]string {
+	pools := make(map[string]string, len(f.executors))
+	for host, e := range f.executors {
+		e.mu.Lock()
+		pools[host] = e.told.Pool
+		e.mu.Unlock()
+	}
+	return pools
+}
+
 // Endpoint returns the running endpoint of a host, or nil.
 func (f *Fleet) Endpoint(host string) *Endpoint { return f.executors[host].current() }
 
--- a/internal/standin/platform_fault.go
+++ b/internal/standin/platform_fault.go
@@ -54,3 +54,18 @@
 	defer p.mutex.Unlock()
 	p.down = down
 }
+
+// Available returns the number of hosts in each pool that are up and take new
+// work now, without the lag of a listing.
+func (p *Platform) Available() map[string]int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pass()
+	counts := make(map[string]int)
+	for _, h := range p.hosts {
+		if !h.failed && h.backAt.IsZero() && !h.draining && h.epoch > 0 {
+			counts[h.Pool]++
+		}
+	}
+	return counts
+}
