--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -29,7 +29,7 @@
 	f.Add([]byte("metadata: {kind: pools, name: p}\nspec: {minHosts: 1}\n---\n"))
 	f.Add([]byte(`{"metadata":{"kind":"waves","name":"w"},"spec":{"pools":["p"]}}`))
 	f.Add([]byte("a: &a [*a]"))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		list, err := Read("m", data)
 		if err != nil {
 			return
