Keep the output of commands that dock-dev runs apart from its own

Cause: the command line library finds the outer command in the context and writes to its output. Change: the inner command gets a context without values.

--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -123,10 +123,17 @@
 	return d.control(ctx, progress, "apply", "--file", filepath.Join(d.Dir, "fleet.yaml"))
 }
 
+// withoutValues hides the values of a context. The command line library would
+// take the command of dock-dev in it for the parent of dockctl's.
+type withoutValues struct{ context.Context }
+
+// Value implements context.Context.
+func (withoutValues) Value(any) any { return nil }
+
 // control runs one command of the operators' command line.
 func (d *Deployment) control(ctx context.Context, out io.Writer, args ...string) error {
 	full := []string{"dockctl", "--control", strings.Join(d.ControlURLs(), ",")}
-	if code := cli.Run(ctx, append(full, args...), nil, out, out); code != cli.ExitOK {
+	if code := cli.Run(withoutValues{ctx}, append(full, args...), nil, out, out); code != cli.ExitOK {
 		return eris.Errorf("dockctl %v ended with exit code %d", args, code)
 	}
 	return nil
