--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
 	"laburnumdock/internal/wal"
@@ -41,11 +43,19 @@
 	cut    *gate
 }
 
-// gate drops all requests while it is closed.
+// gate drops all requests while it is closed. It can also lose the answers of
+// forwarded changes.
 type gate struct {
-	mu     sync.Mutex
-	closed bool
-	next   http.Handler
+	mu           sync.Mutex
+	closed       bool
+	losesAnswers bool
+	next         http.Handler
+}
+
+func (g *gate) loseAnswers(lose bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losesAnswers = lose
 }
 
 func (g *gate) set(closed bool) {
@@ -56,8 +66,12 @@
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.mu.Lock()
-	closed := g.closed
+	closed, loses := g.closed, g.losesAnswers
 	g.mu.Unlock()
+	if loses && r.URL.Path == laburnumdockv1connect.ControlServiceForwardProcedure {
+		g.next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
 	if closed {
 		// A silent partition: no answer comes until the client gives up.
 		<-r.Context().Done()
@@ -157,6 +171,10 @@
 func (c *cluster) end(id uint64, cause error) {
 	run := c.replicas[id]
 	delete(c.replicas, id)
+	c.endRun(run, cause)
+}
+
+func (c *cluster) endRun(run *running, cause error) {
 	if errors.Is(cause, ErrAbandon) {
 		run.server.Close()
 	}
@@ -220,3 +238,19 @@
 	require.NoError(c.t, err)
 	require.Nil(c.t, res.Err)
 }
+
+// resend proposes until the change is accepted, as a client does that resends
+// a change whose outcome it did not learn.
+func (c *cluster) resend(run *running, i int) {
+	put := putTeam(i)
+	put.Origin.ChangeID, put.Origin.IssuedAt = fmt.Sprintf("change-%d", i), time.Now()
+	for ctx := within(c.t); ; {
+		res, err := run.Propose(ctx, put)
+		if err == nil {
+			require.Nil(c.t, res.Err)
+			return
+		}
+		require.Equal(c.t, fault.OutcomeUnknown, fault.KindOf(err))
+		require.NoError(c.t, ctx.Err())
+	}
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -26,10 +26,11 @@
 	Tick           time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
-	// SnapshotEntries is the number of applied entries after which a snapshot
-	// replaces them; KeepEntries of them stay for followers that are a little
-	// behind.
+	// SnapshotEntries and SnapshotBytes are the applied entries after which a
+	// snapshot replaces them; up to KeepEntries of them, and a quarter of
+	// SnapshotBytes, stay for followers that are a little behind.
 	SnapshotEntries uint64
+	SnapshotBytes   int
 	KeepEntries     uint64
 	// LeaderWait bounds how long a change or a read waits for a leader.
 	LeaderWait time.Duration
@@ -49,8 +50,11 @@
 	DefaultElectionTicks   = 10
 	DefaultHeartbeatTicks  = 2
 	DefaultSnapshotEntries = 10_000
-	DefaultKeepEntries     = 1_000
-	DefaultLeaderWait      = 3 * time.Second
+	// DefaultSnapshotBytes bounds the log in memory: a replica may take 64 MB,
+	// and entries with answers of requests can be large.
+	DefaultSnapshotBytes = 8 << 20
+	DefaultKeepEntries   = 1_000
+	DefaultLeaderWait    = 3 * time.Second
 
 	maxEntriesPerMessage = 1024
 	maxBytesPerMessage   = 1 << 20
@@ -68,6 +72,7 @@
 	setDefault(&c.ElectionTicks, DefaultElectionTicks)
 	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
 	setDefault(&c.LeaderWait, DefaultLeaderWait)
 	if c.Metrics == nil {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -58,9 +58,11 @@
 	lastTick       time.Time
 	// changedAt is when the last command other than a tick was applied.
 	changedAt time.Time
-	// snapshotAt is the index of the newest snapshot; saving tells that the
+	// snapshotAt is the index of the newest snapshot, and bytesSince the size
+	// of what was applied since the last one was begun; saving tells that the
 	// next is being written.
 	snapshotAt uint64
+	bytesSince int
 	saving     bool
 	saved      chan savedSnapshot
 	writers    sync.WaitGroup
@@ -308,6 +310,7 @@
 			return fault.New(fault.Internal, "entry %d cannot be decoded: %v", e.Index, err)
 		}
 		answers[i] = l.state.Apply(e.Index, cmd)
+		l.bytesSince += len(e.Data)
 		if _, isTick := cmd.(state.Tick); !isTick {
 			l.changedAt = time.Now()
 		}
@@ -351,14 +354,15 @@
 // startSnapshot writes a snapshot beside the loop once enough was applied. The
 // dump shares the objects of the state, which are never modified.
 func (l *loop) startSnapshot() {
-	if l.saving || l.failed != nil || l.applied < l.snapshotAt+l.r.cfg.SnapshotEntries {
+	isDue := l.applied >= l.snapshotAt+l.r.cfg.SnapshotEntries || l.bytesSince >= l.r.cfg.SnapshotBytes
+	if l.saving || l.failed != nil || !isDue {
 		return
 	}
 	meta, err := l.node.SnapshotMeta(l.applied)
 	if err != nil {
 		return
 	}
-	l.saving = true
+	l.saving, l.bytesSince = true, 0
 	dump, addresses := l.state.Dump(), maps.Clone(l.addresses)
 	l.writers.Go(func() {
 		data, err := encodeImage(dump, addresses)
@@ -380,7 +384,7 @@
 		return
 	}
 	l.snapshotAt = s.meta.Index
-	l.node.Compact(s.meta, l.r.cfg.KeepEntries)
+	l.node.Compact(s.meta, l.r.cfg.KeepEntries, l.r.cfg.SnapshotBytes/4)
 	if err := l.r.store.Compact(s.meta.Index); err != nil {
 		l.fail(err)
 	}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -64,6 +64,25 @@
 // acknowledged before the call. Any replica answers it, but only while a quorum
 // is there.
 func (r *Replica) ReadSnapshot(ctx context.Context) (*state.Snapshot, error) {
+	index, err := r.confirmedIndex(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r.waitApplied(ctx, index)
+}
+
+// readIndex returns an index that a quorum has confirmed, once it is applied
+// here.
+func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
+	index, err := r.confirmedIndex(ctx)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.waitApplied(ctx, index)
+	return index, err
+}
+
+func (r *Replica) confirmedIndex(ctx context.Context) (uint64, error) {
 	var index uint64
 	err := r.withLeader(ctx, func(leader uint64) error {
 		var err error
@@ -77,10 +96,7 @@
 		}
 		return err
 	})
-	if err != nil {
-		return nil, err
-	}
-	return r.waitApplied(ctx, index)
+	return index, err
 }
 
 func (r *Replica) readIndexLocal(ctx context.Context) (uint64, error) {
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -24,7 +24,8 @@
 	}
 	return state.RequestRecord{
 		ID: rec.GetRequestId(), Phase: phase, Caller: rec.GetCaller(), Service: rec.GetService(), EntryHost: rec.GetEntryHost(),
-		Digest: rec.GetDigest(), Status: int(rec.GetStatus()), ContentType: rec.GetContentType(), Body: rec.GetBody(), Expires: expires,
+		Digest: rec.GetDigest(), Status: int(rec.GetStatus()), ContentType: rec.GetContentType(), Body: rec.GetBody(),
+		AnswerDropped: rec.GetAnswerDropped(), Token: rec.GetToken(), Expires: expires,
 	}, nil
 }
 
@@ -35,6 +36,7 @@
 	out := &pb.RequestRecord{
 		RequestId: rec.ID, Caller: rec.Caller, Service: rec.Service, EntryHost: rec.EntryHost,
 		Digest: rec.Digest, Status: uint32(rec.Status), ContentType: rec.ContentType, Body: rec.Body,
+		AnswerDropped: rec.AnswerDropped, Token: rec.Token,
 	}
 	for wire, phase := range phaseFromWire {
 		if phase == rec.Phase {
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -65,7 +65,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	resp, err := p.control.ReadIndex(ctx, connect.NewRequest(&pb.ReadIndexRequest{}))
+	req := connect.NewRequest(&pb.ReadIndexRequest{})
+	p.all.sign(req.Header())
+	resp, err := p.control.ReadIndex(ctx, req)
 	if err != nil {
 		return 0, remoteError(err, fault.Unavailable)
 	}
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -36,10 +36,10 @@
 	c := newCluster(t, 1, 2, 3)
 	old := c.leader()
 	c.mustPut(old, 1)
-	id := old.Status().ID
-	c.kill(id)
+	id, survivor := old.Status().ID, c.follower()
 	began := time.Now()
-	c.mustPut(c.follower(), 2)
+	c.kill(id)
+	c.resend(survivor, 2)
 	t.Logf("first accepted change %s after the leader was killed", time.Since(began))
 	c.restart(id)
 	snap, err := c.replicas[id].ReadSnapshot(within(t))
@@ -116,6 +116,9 @@
 		c.mustPut(lead, i)
 	}
 	lost := c.follower().Status().ID
+	for _, run := range c.replicas {
+		require.Eventually(t, func() bool { return run.Status().Storage.Disks == 2 }, generous, time.Millisecond)
+	}
 	require.Eventually(t, func() bool { return lead.Status().Tolerates == 1 }, generous, time.Millisecond)
 	c.kill(lost)
 	require.Eventually(t, func() bool { return lead.Status().Tolerates == 0 }, generous, time.Millisecond)
@@ -174,6 +177,7 @@
 	require.Equal(t, fault.StorageFailed, fault.KindOf(err))
 	require.Eventually(t, func() bool { return back.Status().StorageError != nil && !back.IsLeader() }, generous, time.Millisecond)
 	c.mustPut(lead, 5)
+	require.True(t, back.Status().Halted)
 	disk.full.Store(false)
 	_, err = back.proposeLocal(within(t), putTeam(6))
 	require.Equal(t, fault.StorageFailed, fault.KindOf(err), "a failed disk stays failed until the restart")
@@ -252,3 +256,18 @@
 	require.NoError(t, err)
 	require.Equal(t, 99, snap.Get(teamKey(99)).(*model.Team).Spec.QuotaCores)
 }
+
+// Guards against a forwarded change whose answer was lost and that is reported
+// as not accepted, after which a client or this replica would repeat it.
+func TestLostAnswerOfForwardedChangeIsUnknown(t *testing.T) {
+	c := newCluster(t, 1, 2, 3)
+	lead, follower := c.leader(), c.follower()
+	c.mustPut(follower, 1)
+	lead.cut.loseAnswers(true)
+	_, err := follower.Propose(within(t), putTeam(2))
+	require.Equal(t, fault.OutcomeUnknown, fault.KindOf(err))
+	lead.cut.loseAnswers(false)
+	snap, err := lead.ReadSnapshot(within(t))
+	require.NoError(t, err)
+	require.NotNil(t, snap.Get(teamKey(2)))
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -73,9 +73,16 @@
 	return connect.NewResponse(&pb.ForwardResponse{Result: data}), nil
 }
 
-// ReadIndex implements the ControlService.
-func (s *Service) ReadIndex(ctx context.Context, _ *connect.Request[pb.ReadIndexRequest]) (*connect.Response[pb.ReadIndexResponse], error) {
-	index, err := s.Replica.readIndexLocal(ctx)
+// ReadIndex implements the ControlService. Another replica gets the answer of
+// this one alone, so that two replicas do not ask each other in a circle. Anyone
+// else is answered once this replica has applied the index: it is then known to
+// be in contact with the leader.
+func (s *Service) ReadIndex(ctx context.Context, req *connect.Request[pb.ReadIndexRequest]) (*connect.Response[pb.ReadIndexResponse], error) {
+	read := s.Replica.readIndex
+	if req.Header().Get(replicaHeader) != "" {
+		read = s.Replica.readIndexLocal
+	}
+	index, err := read(ctx)
 	if err != nil {
 		return nil, answer.ConnectError(err)
 	}
--- a/internal/core/raft/log.go
+++ b/internal/core/raft/log.go
@@ -65,6 +65,17 @@
 	l.stable = min(l.stable, index)
 }
 
+// offsetToKeep returns the compaction point that keeps the last entries up to
+// index, bounded by count and bytes.
+func (l *entryLog) offsetToKeep(index, count uint64, bytes int) uint64 {
+	for ; index > l.offset && count > 0; index, count = index-1, count-1 {
+		if bytes -= l.entries[index-l.offset-1].size(); bytes < 0 {
+			break
+		}
+	}
+	return index
+}
+
 // compact moves the compaction point up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.offset {
--- a/internal/core/raft/member.go
+++ b/internal/core/raft/member.go
@@ -81,17 +81,15 @@
 	return members.Clone()
 }
 
-// Compact tells that a snapshot is synced. Up to keep entries before it stay,
-// so that a follower that is only a little behind needs no snapshot.
-func (n *Node) Compact(snap SnapshotMeta, keep uint64) {
+// Compact tells that a snapshot is synced. Up to keepEntries entries of at most
+// keepBytes before it stay, so that a follower that is only a little behind
+// needs no snapshot.
+func (n *Node) Compact(snap SnapshotMeta, keepEntries uint64, keepBytes int) {
 	if snap.Index <= n.snap.Index || snap.Index > n.log.applied {
 		return
 	}
 	n.snap = snap
-	if snap.Index <= keep {
-		return
-	}
-	offset := max(n.log.offset, snap.Index-keep)
+	offset := n.log.offsetToKeep(snap.Index, keepEntries, keepBytes)
 	members := n.membersAt(offset)
 	n.log.compact(offset)
 	kept := []configAt{{index: offset, members: members}}
--- a/internal/core/raft/node_test.go
+++ b/internal/core/raft/node_test.go
@@ -367,3 +367,30 @@
 	require.NotContains(t, w.reads, uint64(77))
 	require.Empty(t, w.violation)
 }
+
+// Guards against a compacted log that keeps more than it may, in entries or in
+// bytes, and against one that keeps less than a follower needs.
+func TestCompactKeepsBoundedTail(t *testing.T) {
+	cases := map[string]struct {
+		entries uint64
+		bytes   int
+		first   uint64
+	}{
+		"by entries": {4, 1 << 20, 17},
+		"by bytes":   {100, 3 * (50 + entryOverhead), 18},
+		"nothing":    {0, 1 << 20, 21},
+		"everything": {100, 1 << 20, 2},
+	}
+	for name, c := range cases {
+		w, lead := settled(t, 1)
+		for lead.node.log.last() < 20 {
+			mustPropose(t, lead, string(make([]byte, 50)))
+			w.fair(1)
+		}
+		meta, err := lead.node.SnapshotMeta(20)
+		require.NoError(t, err)
+		lead.node.Compact(meta, c.entries, c.bytes)
+		require.Equal(t, c.first, lead.node.Status().First, name)
+		require.EqualValues(t, 20, lead.node.Status().Snapshot, name)
+	}
+}
--- a/internal/core/raft/world_test.go
+++ b/internal/core/raft/world_test.go
@@ -485,7 +485,7 @@
 	drop := int(meta.Index - s.disk.snap.Index)
 	s.disk.entries = slices.Clone(s.disk.entries[drop:])
 	s.disk.snap, s.disk.state = meta, s.state
-	s.node.Compact(meta, uint64(w.choose.IntN(4)))
+	s.node.Compact(meta, uint64(w.choose.IntN(4)), 200)
 }
 
 // check verifies the invariants that span the replicas, for the replica that
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -64,6 +64,8 @@
 	Syncs   uint64
 	Entries uint64
 	Bytes   uint64
+	// Disks is the number of other replicas whose disk is known.
+	Disks int
 }
 
 // Recovered is what the files held on open.
@@ -116,7 +118,11 @@
 }
 
 // Stats returns the counters.
-func (l *Log) Stats() Stats { return l.stats }
+func (l *Log) Stats() Stats {
+	s := l.stats
+	s.Disks = len(l.disks.seen)
+	return s
+}
 
 // Identity returns whose files they are.
 func (l *Log) Identity() Identity { return l.id }
