Recover from silent connections to peers and control replicas

Cause: a peer call met the same silent HTTP/2 connection until its ping ran out; the oldest announcement on the peer was 2.7 s old, close to the lease of 3 s. ServeMux redirected callers' paths that it takes for unclean. The path below a service is passed on as it is, but for the paths that are for entry hosts.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -23,10 +23,10 @@
 // Guards against a part of the request that is lost or changed on its way.
 func TestRequestReachesEndpointWhole(t *testing.T) {
 	c := newCell(t, cellConfig{endpoints: 1})
-	out := c.must(call{method: http.MethodPut, path: "a%2Fb/c?x=1&y=%20", body: "order"})
+	out := c.must(call{method: http.MethodPut, path: "a%2Fb//c/../?x=1&y=%20", body: "order"})
 	assert.Equal(t, http.StatusOK, out.status)
 	assert.Equal(t, fault.RanYes, out.ran)
-	assert.Equal(t, standin.Reply{Endpoint: "quotes-0", Method: http.MethodPut, Path: "/a%2Fb/c", Query: "x=1&y=%20", Echo: "order"}, out.reply)
+	assert.Equal(t, standin.Reply{Endpoint: "quotes-0", Method: http.MethodPut, Path: "/a%2Fb//c/../", Query: "x=1&y=%20", Echo: "order"}, out.reply)
 	assert.Empty(t, out.header.Get(entry.HeaderRequestID), "the ID between entry host and endpoint is internal")
 }
 
--- a/internal/entry/controlclient.go
+++ b/internal/entry/controlclient.go
@@ -58,12 +58,23 @@
 	}}
 }
 
+// ownClient returns a client with connections of its own. A caller that runs
+// into its timeout closes them, so that its next call does not meet the same
+// silent connection; HTTP/2 pings alone need twice the time.
+func (c Config) ownClient() *http.Client {
+	transport, ok := c.Client.Transport.(*http.Transport)
+	if !ok {
+		return c.Client
+	}
+	return &http.Client{Transport: transport.Clone()}
+}
+
 // controlClients are the clients of the control replicas, in the order of the
 // settings.
-func controlClients(cfg Config) []laburnumdockv1connect.ControlServiceClient {
+func controlClients(cfg Config, client *http.Client) []laburnumdockv1connect.ControlServiceClient {
 	var list []laburnumdockv1connect.ControlServiceClient
 	for _, address := range cfg.Controls {
-		list = append(list, laburnumdockv1connect.NewControlServiceClient(cfg.Client, address))
+		list = append(list, laburnumdockv1connect.NewControlServiceClient(client, address))
 	}
 	return list
 }
@@ -98,7 +109,7 @@
 }
 
 func newControlClient(cfg Config, q queue) *controlClient {
-	c := &controlClient{cfg: cfg, clients: controlClients(cfg), config: newConfiguration(q), relist: true, lost: true}
+	c := &controlClient{cfg: cfg, clients: controlClients(cfg, cfg.Client), config: newConfiguration(q), relist: true, lost: true}
 	c.current.Store(&ConfigStatus{})
 	return c
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -167,8 +168,15 @@
 // Handler returns the routes for callers, endpoints and operators.
 func (h *Host) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve)
 	mux.HandleFunc("POST /v1/announce", h.announce)
 	h.routeHealth(mux)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// ServeMux would redirect a path that it takes for unclean, but the
+		// path below the service is the endpoint's own.
+		if strings.HasPrefix(r.URL.Path, servicePrefix) {
+			h.serve(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
--- a/internal/entry/loop_test.go
+++ b/internal/entry/loop_test.go
@@ -80,12 +80,10 @@
 	}
 }
 
-// arrivalKind sends a request that is refused at once or forwarded, and tells
-// which. The forward meets no network: its deadline has passed.
+// refusal sends a request that is refused at once and returns why.
 func refusal(h *Host) fault.Kind {
 	rec := httptest.NewRecorder()
 	req := httptest.NewRequest(http.MethodGet, "/v1/services/quotes/x", nil)
-	req.SetPathValue("service", "quotes")
 	h.serve(rec, req)
 	return fault.Kind(rec.Header().Get(answer.KindHeader))
 }
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -21,14 +22,17 @@
 	// exchangeKeepAlive is how often a peer hears from this host if there is
 	// nothing new; slot use runs out without.
 	exchangeKeepAlive = time.Second
-	exchangeTimeout   = time.Second
-	maxExchangeBytes  = 8 << 20
+	// exchangeTimeout leaves time for another call on a new connection before a
+	// lease of 3 s ends: an announcement is up to 1 s old when it is sent.
+	exchangeTimeout  = 600 * time.Millisecond
+	maxExchangeBytes = 8 << 20
 )
 
 // peer sends to one other entry host. Its goroutine owns it.
 type peer struct {
 	host    *Host
 	address string
+	http    *http.Client
 	client  laburnumdockv1connect.PeerServiceClient
 	// acked is the change of the board up to which the peer has everything.
 	acked uint64
@@ -40,7 +44,8 @@
 }
 
 func newPeer(h *Host, address string) *peer {
-	return &peer{host: h, address: address, client: laburnumdockv1connect.NewPeerServiceClient(h.cfg.Client, address)}
+	client := h.cfg.ownClient()
+	return &peer{host: h, address: address, http: client, client: laburnumdockv1connect.NewPeerServiceClient(client, address)}
 }
 
 func (p *peer) run(ctx context.Context) error {
@@ -75,6 +80,7 @@
 	}
 	res, err := p.call(ctx, d, now)
 	if err != nil {
+		p.http.CloseIdleConnections()
 		p.noteFailure(ctx, err)
 		return
 	}
--- a/internal/entry/recorder.go
+++ b/internal/entry/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 type recorder struct {
 	queue   queue
 	metrics *hostMetrics
+	http    *http.Client
 	clients []laburnumdockv1connect.ControlServiceClient
 	// current is the replica that took the last batch; the goroutine of run
 	// owns it.
@@ -50,7 +52,8 @@
 }
 
 func newRecorder(cfg Config, q queue, m *hostMetrics) *recorder {
-	return &recorder{queue: q, metrics: m, clients: controlClients(cfg), wake: make(chan struct{}, 1)}
+	client := cfg.ownClient()
+	return &recorder{queue: q, metrics: m, http: client, clients: controlClients(cfg, client), wake: make(chan struct{}, 1)}
 }
 
 // add takes one record. It does not block.
@@ -127,6 +130,7 @@
 	}
 	res, err := r.clients[r.current].RecordRequests(ctx, connect.NewRequest(req))
 	if err != nil {
+		r.http.CloseIdleConnections()
 		return nil, fault.From(kindError(err))
 	}
 	if got := len(res.Msg.GetResults()); got != len(batch) {
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -83,7 +83,7 @@
 
 func newReporter(cfg Config, q queue) *reporter {
 	return &reporter{
-		name: cfg.Name, queue: q, clients: controlClients(cfg), acked: make(map[string]*pb.EndpointState),
+		name: cfg.Name, queue: q, clients: controlClients(cfg, cfg.ownClient()), acked: make(map[string]*pb.EndpointState),
 		unsent: make(map[string]*pb.ServiceLoad), last: time.Now(),
 	}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -139,6 +141,10 @@
 
 // read takes the request apart and refuses what is malformed.
 func (h *Host) read(w http.ResponseWriter, r *http.Request, now time.Time) (*exchange, error) {
+	service, path, err := target(r)
+	if err != nil {
+		return nil, err
+	}
 	deadline, err := h.deadline(r)
 	if err != nil {
 		return nil, err
@@ -160,10 +166,10 @@
 		return nil, err
 	}
 	x := &exchange{
-		method: r.Method, path: servicePath(r), query: r.URL.RawQuery, header: r.Header, remote: r.RemoteAddr,
+		method: r.Method, path: path, query: r.URL.RawQuery, header: r.Header, remote: r.RemoteAddr,
 		body: body, done: make(chan outcome, 1),
 		request: dispatch.Request{
-			ID: h.nextID.Add(1), Service: r.PathValue("service"), Caller: r.Header.Get(HeaderCaller),
+			ID: h.nextID.Add(1), Service: service, Caller: r.Header.Get(HeaderCaller),
 			WorkKind: r.Header.Get(HeaderWorkKind), SizeBytes: len(body), Urgent: urgent,
 			Repeatable: repeatable, RequestID: requestID, Deadline: now.Add(deadline),
 		},
@@ -176,13 +182,23 @@
 	return x, nil
 }
 
-// servicePath returns the escaped path below the service.
-func servicePath(r *http.Request) string {
-	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/")
-	if i := strings.IndexByte(rest, '/'); i >= 0 {
-		return rest[i:]
+// servicePrefix starts the paths of callers' requests.
+const servicePrefix = "/v1/services/"
+
+// reservedPrefix starts the paths at which endpoints answer entry hosts only.
+const reservedPrefix = "laburnum/"
+
+// target returns the service and the escaped path below it.
+func target(r *http.Request) (service, path string, err error) {
+	escaped, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix), "/")
+	service, bad := url.PathUnescape(escaped)
+	if bad != nil || service == "" || len(service) > maxNameBytes {
+		return "", "", fault.Field("service", fmt.Sprintf("1 to %d bytes", maxNameBytes), "value is %q", escaped)
+	}
+	if strings.HasPrefix(path, reservedPrefix) {
+		return "", "", fault.Field("path", "not below /"+reservedPrefix, "the path is for entry hosts")
 	}
-	return "/"
+	return service, "/" + path, nil
 }
 
 func (h *Host) deadline(r *http.Request) (time.Duration, error) {
--- a/internal/standin/endpoint_serve.go
+++ b/internal/standin/endpoint_serve.go
@@ -14,10 +14,13 @@
 )
 
 func (e *Endpoint) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+entry.PingPath, e.ping)
-	mux.HandleFunc("/", e.serve)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == entry.PingPath {
+			e.ping(w, r)
+			return
+		}
+		e.serve(w, r)
+	})
 }
 
 // ping tells which requests are running. It needs no slot.
