Serve the entry host's handler as it is

Cause: the ServeMux round the handler redirects callers' paths that it takes for unclean, which the handler itself avoids. Change: role.Entry serves the handler, which has the pages for operations. Conclusion: the path below a service reaches the endpoint as it was sent.

--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -27,10 +27,7 @@
 		BalancerDelay: *s.BalancerDelay, DrainTimeout: *s.ShutdownLimit,
 		Client: client, Log: log, Metrics: registry,
 	})
-	callers := http.NewServeMux()
-	callers.Handle("/v1/", host.Handler())
-	process.Ops(callers, registry, host.Ready)
-	return serveEntry(ctx, s, host, callers, log)
+	return serveEntry(ctx, s, host, host.Handler(), log)
 }
 
 // serveEntry keeps the listeners open until the host has shut down.
