Show and change the group of control replicas through the API

Cause: a replica that lost its disk could be replaced only in code; operators did not see how many further losses can be borne. Change: GET /v1/cluster and POST /v1/cluster/members (admin), dockctl cluster status, add, promote and remove.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -41,7 +41,9 @@
 	// an admin if Loopback is set, and refused else.
 	Tokens   *Tokens
 	Loopback bool
-	Log      *logevent.Logger
+	// Cluster shows and changes the group of replicas; nil if there is none.
+	Cluster Cluster
+	Log     *logevent.Logger
 	// Watch bounds the watch streams.
 	Watch WatchLimits
 	// Stopping is closed when the process shuts down, to end the watches.
@@ -124,6 +126,8 @@
 	operate := func(pattern string, h http.HandlerFunc) { mux.HandleFunc(pattern, a.allow(fixedRole(RoleOperator), h)) }
 	view("GET /v1/watch", a.watch)
 	view("GET /v1/audit", a.audit)
+	view("GET /v1/cluster", a.cluster)
+	mux.HandleFunc("POST /v1/cluster/members", a.allow(fixedRole(RoleAdmin), a.changeMember))
 	view("GET /v1/describe/{kind}/{name}", a.describe)
 	view("GET /v1/{kind}", a.list)
 	view("GET /v1/{kind}/{name}", a.get)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,7 +69,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), getCommand(), describeCommand(), watchCommand(), deleteCommand(),
-			drainCommand(), moveCommand(), cancelCommand(), waveCommand(), auditCommand(), versionCommand(),
+			drainCommand(), moveCommand(), cancelCommand(), waveCommand(), clusterCommand(), auditCommand(), versionCommand(),
 		},
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
 		// The caller of Run decides about exit and messages.
--- /dev/null
+++ b/internal/cli/cluster.go
@@ -0,0 +1,138 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumdock/internal/api"
+)
+
+const clusterPath = "/v1/cluster"
+
+func clusterCommand() *cli.Command {
+	return &cli.Command{
+		Name: "cluster", Usage: "show and change the group of control replicas",
+		Commands: []*cli.Command{
+			{Name: "status", Usage: "show the members and how many further losses can be borne", Action: runClusterStatus},
+			memberCommand(api.MemberAdd, "add a replica as a learner, after its init-join", "ID", "URL"),
+			memberCommand(api.MemberPromote, "make a caught-up learner a voter", "ID"),
+			memberCommand(api.MemberRemove, "remove a replica; its ID is never used again", "ID"),
+		},
+	}
+}
+
+func memberCommand(action api.MemberAction, usage string, names ...string) *cli.Command {
+	return &cli.Command{
+		Name: string(action), Usage: usage, ArgsUsage: argsUsage(names),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			args, err := arguments(c, names...)
+			if err != nil {
+				return err
+			}
+			id, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return usagef("%q is not the ID of a replica", args[0])
+			}
+			change := api.MemberChange{Action: action, ID: id}
+			if len(args) > 1 {
+				change.Address = args[1]
+			}
+			return changeMember(ctx, c, change)
+		},
+	}
+}
+
+func argsUsage(names []string) string {
+	usage := ""
+	for _, name := range names {
+		usage += " " + name
+	}
+	return usage[1:]
+}
+
+func changeMember(ctx context.Context, c *cli.Command, change api.MemberChange) error {
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(change)
+	if err != nil {
+		return err
+	}
+	var done api.MemberChange
+	data, err := client.read(ctx, call{method: http.MethodPost, path: clusterPath + "/members", body: body}, &done)
+	if err != nil {
+		return err
+	}
+	return printAnswer(c, data, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "replica %d: %s done\n", done.ID, done.Action)
+		return err
+	})
+}
+
+func runClusterStatus(ctx context.Context, c *cli.Command) error {
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	status, data, err := leaderStatus(ctx, client)
+	if err != nil {
+		return err
+	}
+	return printAnswer(c, data, func(w io.Writer) error { return printCluster(w, status) })
+}
+
+// leaderStatus asks each replica, because only the leader knows the progress
+// of the members. Without a leader it returns what the last one knows.
+func leaderStatus(ctx context.Context, client *Client) (api.ClusterStatus, []byte, error) {
+	var status api.ClusterStatus
+	var data []byte
+	var err error
+	for range client.addresses {
+		answered, readErr := client.read(ctx, call{path: clusterPath}, &status)
+		client.next = (client.next + 1) % len(client.addresses)
+		if readErr != nil {
+			err = readErr
+			continue
+		}
+		data = answered
+		if status.Known {
+			break
+		}
+	}
+	if data == nil {
+		return status, nil, err
+	}
+	return status, data, nil
+}
+
+func printCluster(w io.Writer, s api.ClusterStatus) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "REPLICA\tROLE\tREACHABLE\tCAUGHT UP\tMATCH\tADDRESS")
+	for _, m := range s.Members {
+		role := "learner"
+		if m.Voter {
+			role = "voter"
+		}
+		if m.ID == s.Leader {
+			role = "leader"
+		}
+		fmt.Fprintf(t, "%d\t%s\t%t\t%t\t%d\t%s\n", m.ID, role, m.Reachable, m.CaughtUp, m.Match, m.Address)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if !s.Known {
+		_, err := fmt.Fprintln(w, "no leader answered; the progress of the members is not known")
+		return err
+	}
+	_, err := fmt.Fprintf(w, "term %d, commit %d; %d further losses can be borne\n", s.Term, s.Commit, s.FurtherLosses)
+	return err
+}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -98,7 +98,7 @@
 func operatorsHandler(ctx context.Context, s *settings.Control, replica *control.Replica, log *logevent.Logger, registry metrics.Registry) (http.Handler, error) {
 	cfg := api.Config{
 		Backend: replica, MaxBodyBytes: int64(*s.MaxBodyBytes), Loopback: api.IsLoopback(*s.API.Address),
-		Log: log, Stopping: ctx.Done(),
+		Cluster: cluster{replica}, Log: log, Stopping: ctx.Done(),
 	}
 	if *s.TokenFile != "" {
 		tokens, err := api.LoadTokens(*s.TokenFile)
