Bound the time in which a client sends a body

Cause: a client that sent its body slowly held a goroutine of the API for ever.

Change: reading a body has a deadline of 10 s. It is taken back after success alone: with it taken back after a failure as well, the server waited without end for the rest of the body, as the new test showed.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -37,6 +37,8 @@
 type Config struct {
 	Backend      Backend
 	MaxBodyBytes int64
+	// BodyTimeout is how long the client may take to send a body.
+	BodyTimeout time.Duration
 	// Tokens holds the operators' tokens. Without them every request is one of
 	// an admin if Loopback is set, and refused else.
 	Tokens   *Tokens
@@ -66,6 +68,7 @@
 // Defaults of the limits.
 const (
 	DefaultMaxBodyBytes = 1 << 20
+	defaultBodyTimeout  = 10 * time.Second
 	defaultWatchers     = 1024
 	defaultBatch        = 512
 	defaultWriteTimeout = 5 * time.Second
@@ -77,6 +80,7 @@
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	c.BodyTimeout = orDefault(c.BodyTimeout, defaultBodyTimeout)
 	if c.Log == nil {
 		c.Log = logevent.Discard()
 	}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -194,6 +194,7 @@
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
 	require.NoError(t, err)
 	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(streamLimit)))
 	body := `{"spec":{"minHosts":1}}`
 	_, err = fmt.Fprintf(conn, "PUT /v1/pools/p HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body)+10, body)
 	require.NoError(t, err)
@@ -204,6 +205,39 @@
 	require.Nil(t, s.Snapshot().Get(model.Key{Kind: model.KindPool, Name: "p"}))
 }
 
+// Guards against clients that hold requests open by sending bodies slowly, and
+// against a deadline that ends a request whose body was complete.
+func TestSlowBodyIsRefused(t *testing.T) {
+	s := newServer(t, func(c *api.Config) { c.BodyTimeout = 100 * time.Millisecond })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(streamLimit)))
+	_, err = fmt.Fprint(conn, "PUT /v1/pools/p HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	answered, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answered), "400 Bad Request")
+	slow := &slowBackend{Backend: s.Backend, wait: 1500 * time.Millisecond}
+	s = newServer(t, func(c *api.Config) { c.Backend, c.BodyTimeout = slow, time.Second })
+	s.ok("PUT", "/v1/pools/p", `{}`)
+}
+
+// slowBackend takes its time and gives up when the request has ended.
+type slowBackend struct {
+	*apitest.Backend
+	wait time.Duration
+}
+
+func (b *slowBackend) Propose(ctx context.Context, cmd state.Command) (state.Result, error) {
+	select {
+	case <-ctx.Done():
+		return state.Result{}, fault.New(fault.OutcomeUnknown, "request ended")
+	case <-time.After(b.wait):
+		return b.Backend.Propose(ctx, cmd)
+	}
+}
+
 // Guards against a resent change that runs twice or gets another answer.
 func TestResentChangesRunOnce(t *testing.T) {
 	s := newServer(t)
--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -17,11 +17,18 @@
 	"laburnumdock/internal/core/state"
 )
 
-// readBody reads the whole body. A body that is too large or cut off is
-// refused before anything is decoded.
+// readBody reads the whole body. A body that is too large, too slow or cut off
+// is refused before anything is decoded.
 func (a *api) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines is one of a test.
+	_ = control.SetReadDeadline(time.Now().Add(a.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBodyBytes))
 	if err == nil {
+		// The server goes on reading, to learn that the client has gone. After a
+		// failure the deadline stays, because the server reads the rest of the
+		// body before it closes the connection.
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
