Count server errors against an endpoint, and take the slots it states

Cause: a worker that fails everything it starts answers at once; the dispatcher took its status 500 for a success, learned a short run time and sent it more. The dispatcher also knew of slots that endpoints state, but nobody told it. Ruled out: refusing the answer; it is the true answer to the request.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -299,6 +299,30 @@
 	}
 }
 
+// Guards against a worker that fails everything at once and, being the fastest,
+// attracts the work of its pool.
+func TestEndpointThatAnswersWithServerErrorsIsEjected(t *testing.T) {
+	const bad = "quotes-3"
+	f := newFixture(Config{})
+	f.announce("quotes", 6)
+	errors := 0
+	for id := range uint64(600) {
+		f.now = f.now.Add(time.Millisecond)
+		for _, e := range of[Forward](f.step(Arrive{Request: f.request(id+1, true)})) {
+			failed := e.Endpoint == bad
+			if failed {
+				errors++
+			}
+			end := Finished{ID: e.ID, Attempt: e.Attempt, Outcome: AttemptAnswered, ServerError: failed, RunTime: time.Millisecond}
+			answers := of[Answer](f.step(end))
+			require.Len(t, answers, 1)
+			require.Nil(t, answers[0].Err, "the answer of the endpoint is passed on")
+		}
+	}
+	require.True(t, f.d.table.Endpoint(bad).IsEjected())
+	require.Less(t, errors, 30)
+}
+
 // Guards against long work that is not recognised beforehand and goes on to
 // count as short.
 func TestRunningWorkTurnsLong(t *testing.T) {
--- a/internal/core/dispatch/event.go
+++ b/internal/core/dispatch/event.go
@@ -70,6 +70,10 @@
 	Detail  string
 	// RunTime is how long the endpoint had the request.
 	RunTime time.Duration
+	// ServerError tells that the whole answer of an AttemptAnswered says that the
+	// endpoint failed. The caller gets the answer; it counts as a failure of the
+	// endpoint, because one that fails at once would else attract all work.
+	ServerError bool
 	// SlotsInUse is the number of slots in use that the endpoint stated in its
 	// answer or refusal, without this attempt. It holds only if Stated is set.
 	SlotsInUse int
--- a/internal/core/dispatch/finish.go
+++ b/internal/core/dispatch/finish.go
@@ -58,6 +58,10 @@
 func (d *Dispatcher) judge(at time.Duration, r *request, e Finished) {
 	switch e.Outcome {
 	case AttemptAnswered:
+		if e.ServerError {
+			d.table.Failed(r.endpoint, at)
+			return
+		}
 		d.table.Succeeded(r.endpoint, at)
 		d.table.Sketch.Learn(r.class, e.RunTime)
 		d.budget.Succeeded()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -20,12 +20,33 @@
 // runAttempt carries out one forward and tells the control loop how it ended.
 func (h *Host) runAttempt(ctx context.Context, x *exchange, a *attempt) {
 	start := time.Now()
-	outcome, detail, res := h.try(ctx, x, a)
-	a.response = res
-	h.metrics.attempt(outcome)
-	h.queue.post(&finishedMessage{exchange: x, attempt: a, event: dispatch.Finished{
-		ID: a.forward.ID, Attempt: a.forward.Attempt, Outcome: outcome, Detail: detail, RunTime: time.Since(start),
-	}})
+	end := h.try(ctx, x, a)
+	a.response = end.response
+	h.metrics.attempt(end.outcome)
+	event := dispatch.Finished{
+		ID: a.forward.ID, Attempt: a.forward.Attempt, Outcome: end.outcome, Detail: end.detail, RunTime: time.Since(start),
+		SlotsInUse: end.slotsInUse, Stated: end.stated,
+	}
+	event.ServerError = end.response != nil && end.response.status >= http.StatusInternalServerError
+	h.queue.post(&finishedMessage{exchange: x, attempt: a, event: event})
+}
+
+// attemptEnd is how an attempt ended.
+type attemptEnd struct {
+	outcome  dispatch.AttemptOutcome
+	detail   string
+	response *response
+	// slotsInUse is what the endpoint stated, if stated is set.
+	slotsInUse int
+	stated     bool
+}
+
+// readSlots takes the number of slots in use that the endpoint states.
+func (e *attemptEnd) readSlots(header http.Header) {
+	n, err := strconv.Atoi(header.Get(HeaderSlotsInUse))
+	if err == nil && n >= 0 {
+		e.slotsInUse, e.stated = n, true
+	}
 }
 
 // try sends the request to the endpoint and reads the whole answer.
@@ -34,7 +55,7 @@
 // any connection. AttemptRefused is reported only if the endpoint echoed the
 // ID of this attempt and says that it did not run. Everything else but a whole
 // answer is AttemptLost, or AttemptSilent: the request may have run.
-func (h *Host) try(ctx context.Context, x *exchange, a *attempt) (dispatch.AttemptOutcome, string, *response) {
+func (h *Host) try(ctx context.Context, x *exchange, a *attempt) attemptEnd {
 	f := a.forward
 	id := h.attemptID(f)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -42,7 +63,7 @@
 	w := &wire{}
 	out, err := h.outgoing(httptrace.WithClientTrace(ctx, w.trace()), x, f, id)
 	if err != nil {
-		return dispatch.AttemptNotSent, err.Error(), nil
+		return attemptEnd{outcome: dispatch.AttemptNotSent, detail: err.Error()}
 	}
 	l := h.links.get(f.Endpoint, f.Address, a.connections)
 	stop := l.watch(ctx, w, id, cancel)
@@ -55,20 +76,21 @@
 	if problem := checkHeader(res, id); problem != "" {
 		// What else is on this connection belongs to other requests too.
 		w.discard(l)
-		return dispatch.AttemptLost, problem, nil
+		return attemptEnd{outcome: dispatch.AttemptLost, detail: problem}
 	}
+	end := attemptEnd{outcome: dispatch.AttemptAnswered}
+	end.readSlots(res.Header)
 	if res.Header.Get(answer.RanHeader) == string(fault.RanNo) {
-		return dispatch.AttemptRefused, "endpoint refused the request with status " + strconv.Itoa(res.StatusCode), nil
+		end.outcome = dispatch.AttemptRefused
+		end.detail = "endpoint refused the request with status " + strconv.Itoa(res.StatusCode)
+		return end
 	}
 	body, err := readAnswer(res, h.cfg.MaxBodyBytes)
 	if err != nil {
 		return w.failed(ctx, err)
 	}
-	detail := ""
-	if res.StatusCode >= http.StatusInternalServerError {
-		detail = "endpoint answered with status " + strconv.Itoa(res.StatusCode)
-	}
-	return dispatch.AttemptAnswered, detail, &response{status: res.StatusCode, header: res.Header, body: body}
+	end.response = &response{status: res.StatusCode, header: res.Header, body: body}
+	return end
 }
 
 // attemptID is unique for each attempt of each process, so that an answer to
@@ -153,16 +175,16 @@
 }
 
 // failed tells how an attempt without a whole answer ended.
-func (w *wire) failed(ctx context.Context, err error) (dispatch.AttemptOutcome, string, *response) {
+func (w *wire) failed(ctx context.Context, err error) attemptEnd {
 	detail := strings.TrimSpace(err.Error())
 	switch {
 	case !w.sent():
-		return dispatch.AttemptNotSent, detail, nil
+		return attemptEnd{outcome: dispatch.AttemptNotSent, detail: detail}
 	case w.silent.Load():
-		return dispatch.AttemptSilent, "connection is silent and the endpoint does not run the request", nil
+		return attemptEnd{outcome: dispatch.AttemptSilent, detail: "connection is silent and the endpoint does not run the request"}
 	case ctx.Err() != nil:
-		return dispatch.AttemptLost, "attempt ended before the answer: " + context.Cause(ctx).Error(), nil
+		return attemptEnd{outcome: dispatch.AttemptLost, detail: "attempt ended before the answer: " + context.Cause(ctx).Error()}
 	default:
-		return dispatch.AttemptLost, detail, nil
+		return attemptEnd{outcome: dispatch.AttemptLost, detail: detail}
 	}
 }
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -66,7 +66,8 @@
 	a := &attempt{connections: 64, cancel: func() {}, forward: dispatch.Forward{
 		ID: id, Attempt: 1, Endpoint: "e", Address: address, Epoch: 1, Deadline: time.Now().Add(time.Minute),
 	}}
-	return h.try(ctx, x, a)
+	end := h.try(ctx, x, a)
+	return end.outcome, end.detail, end.response
 }
 
 // Guards against an outcome that claims more than is proven: "not sent" after
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -17,6 +17,9 @@
 	HeaderRequestID      = "Laburnum-Request-Id"
 	HeaderAttempt        = "Laburnum-Attempt"
 	HeaderEpoch          = "Laburnum-Epoch"
+	// HeaderSlotsInUse is the number of slots in use that an endpoint states in
+	// its answers, without the request that is answered.
+	HeaderSlotsInUse = "Laburnum-Slots-In-Use"
 	// HeaderCallerRequestID carries the caller's idempotency key to the
 	// endpoint. It has another name there because net/http repeats a request
 	// with an Idempotency-Key on its own.
--- a/internal/standin/endpoint_serve.go
+++ b/internal/standin/endpoint_serve.go
@@ -48,6 +48,7 @@
 	case e.slots <- struct{}{}:
 		defer func() { <-e.slots }()
 	default:
+		stateSlots(w, len(e.slots))
 		answer.WriteRan(w, fault.New(fault.Overloaded, "all %d slots are taken", cap(e.slots)), fault.RanNo)
 		return
 	}
@@ -57,9 +58,15 @@
 	}
 	e.ledger.ran(id, r.Header.Get(entry.HeaderCallerRequestID))
 	e.work(r.Context(), r.Header.Get(entry.HeaderWorkKind))
+	// One slot is this request's own.
+	stateSlots(w, len(e.slots)-1)
 	e.fault.Load().respond(w, e, r, body)
 }
 
+func stateSlots(w http.ResponseWriter, inUse int) {
+	w.Header().Set(entry.HeaderSlotsInUse, strconv.Itoa(inUse))
+}
+
 // refusal tells why a request is not run.
 func (e *Endpoint) refusal(r *http.Request) *fault.Error {
 	epoch, err := strconv.ParseUint(r.Header.Get(entry.HeaderEpoch), 10, 64)
