Count the bytes of a request before they leave

Cause: an attempt is reported as not sent if the kernel took no byte. The count was raised after the write, so an answer or a failure that came in between found a count of zero: a request that ran could be reported as not sent, and one that must not be repeated could be sent again. Ruled out: the endpoint and the dispatcher; the failing cases report zero bytes for requests that the endpoint has. Change: the count is raised before the write and corrected afterwards. Conclusion: fixed; the existing test guards it.

--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -138,9 +138,14 @@
 	wrote, read atomic.Int64
 }
 
+// Write counts the bytes before the kernel takes them and takes back those that
+// it did not take. Counted afterwards, an answer that arrives in between would
+// be seen before the bytes of its request, and the attempt would be taken for
+// one that was not sent.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.wrote.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.wrote.Add(int64(n))
+	c.wrote.Add(int64(n - len(p)))
 	return n, err
 }
 
