Count the time of commands from the replicated time

Cause: control.Replica.Now was the wall clock. After a jump back on the leader, replicated time stood still until the wall clock caught up, so health reports did not age and leases and request IDs did not expire.

Change: state.Clock starts from the wall clock of the process and then goes on by monotonic time; every applied command moves it up to the replicated time, never back. Ruled out: following a forward jump of the wall clock, which would end leases and reports early.

Conclusion: a jump during the life of a process has no effect. A wall clock that is ahead when a process starts still moves the time ahead.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -406,6 +406,7 @@
 }
 
 func (l *loop) publishView() {
+	l.r.followTime(l.state.Now())
 	next := &view{snapshot: l.state.Snapshot(), applied: l.applied, newer: make(chan struct{})}
 	close(l.r.view.Swap(next).newer)
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -35,6 +35,10 @@
 	peers    atomic.Pointer[peers]
 	recorder *recorder
 	meters   *meters
+	// began is when the replica was made, with the monotonic reading that clock
+	// counts from. The control loop stores clock.
+	began time.Time
+	clock atomic.Pointer[state.Clock]
 	// done is closed when Run has returned.
 	done chan struct{}
 }
@@ -145,8 +149,11 @@
 	r := &Replica{
 		cfg: cfg, store: store, start: start,
 		events: make(chan event, cfg.QueueLength), inbound: make(chan delivery, peerQueueLength),
-		done: make(chan struct{}), meters: newMeters(cfg.Metrics),
+		done: make(chan struct{}), meters: newMeters(cfg.Metrics), began: time.Now(),
 	}
+	clock := state.NewClock(r.began)
+	r.clock.Store(&clock)
+	r.followTime(start.image.state.Now())
 	r.recorder = newRecorder(r)
 	r.view.Store(&view{snapshot: start.image.state.Snapshot(), applied: start.snapshot.Index, newer: make(chan struct{})})
 	r.role.Store(&role{status: Status{Status: raft.Status{ID: cfg.ID}}, newer: make(chan struct{})})
@@ -161,8 +168,16 @@
 func (r *Replica) Changed() <-chan struct{} { return r.view.Load().newer }
 
 // Now returns the time for the origin of a command. The leader replaces it by
-// its own, so that one clock orders the commands of a term.
-func (r *Replica) Now() time.Time { return time.Now().UTC() }
+// its own, so that one clock orders the commands of a term. It does not depend
+// on the wall clock after the start of the process.
+func (r *Replica) Now() time.Time { return r.clock.Load().Now(time.Since(r.began)) }
+
+// followTime keeps Now from falling behind the replicated time. Only the
+// control loop calls it once the replica runs.
+func (r *Replica) followTime(replicated time.Time) {
+	next := r.clock.Load().Follow(replicated, time.Since(r.began))
+	r.clock.Store(&next)
+}
 
 // IsLeader tells whether this replica leads, as far as it knows.
 func (r *Replica) IsLeader() bool { return r.role.Load().status.Role == raft.Leader }
