Apply every fault at every step of a change

Cause: the tests of consensus, storage and state each inject their own faults; none shows all faults at each step of one change.

Change: a matrix of 24 faults at the 6 steps of a change on three replicas with the real raft, wal, codec and state packages.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN := bin
 
-.PHONY: help build run demo test fmt fmt-check lint unit generate
+.PHONY: help build run demo test fmt fmt-check lint unit faults generate
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -31,6 +31,10 @@
 unit:
 	go test -race -count=1 -timeout=12m ./...
 
+faults: ## run the fault matrix and print it (docs/fault-matrix.md)
+	go test -race -c -o $(BIN)/faults.test ./internal/faults
+	cd internal/faults && FAULTS_PRINT=1 $(CURDIR)/$(BIN)/faults.test -test.run TestFaultMatrix -test.timeout 10m
+
 generate: ## generate code from proto/
 	go build -modfile=tools/buf/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf
 	go build -modfile=tools/gen/go.mod -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
