--- a/internal/faults/change_test.go
+++ b/internal/faults/change_test.go
@@ -177,7 +177,7 @@
 // loseDisk ends a replica for good. Its folder is empty, so it must not start
 // under its old ID; another one joins after the repair.
 func (c *cluster) loseDisk(r *replica) {
-	if c.joining != 0 && !c.isJoined() {
+	if c.joining != 0 && r.id != c.joining && !c.isJoined() {
 		// A second lost disk before the other replica has joined would leave
 		// one of three voters, from which nobody recovers.
 		c.loseNext = true
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -41,9 +41,13 @@
 	run      int
 	isFailed bool
 	isGone   bool
-	pending  map[uint64]proposed
-	reads    map[uint64]uint64
-	journal  map[uint64]string
+	// isAway tells that the flow itself keeps the process down.
+	isAway bool
+	// isOut tells that an operator removed the replica while its process runs.
+	isOut   bool
+	pending map[uint64]proposed
+	reads   map[uint64]uint64
+	journal map[uint64]string
 }
 
 type proposed struct {
@@ -92,8 +96,9 @@
 	onRepair []func()
 	found    []string
 	// joining is the replica that joins in place of a lost one, or as the flow
-	// asks; removing is the lost one.
-	joining, removing uint64
+	// asks; removing lists the lost ones.
+	joining  uint64
+	removing []uint64
 	// loseNext tells that another disk is lost once the join is over.
 	loseNext bool
 	// forgets is a broken variant: a crash loses what was synced.
@@ -543,9 +548,13 @@
 		c.repairAt = c.round + repairRounds
 		return
 	}
+	for _, id := range c.removing {
+		if m.IsVoter(id) || m.IsLearner(id) {
+			_, _, _ = r.node.ProposeMember(raft.MemberChange{Kind: raft.RemoveMember, ID: id})
+			return
+		}
+	}
 	switch {
-	case c.removing != 0 && (m.IsVoter(c.removing) || m.IsLearner(c.removing)):
-		_, _, _ = r.node.ProposeMember(raft.MemberChange{Kind: raft.RemoveMember, ID: c.removing})
 	case !m.IsLearner(c.joining) && !m.IsVoter(c.joining):
 		if _, _, err := r.node.ProposeMember(raft.MemberChange{Kind: raft.AddLearner, ID: c.joining}); err == nil {
 			c.mark("join asked")
@@ -563,7 +572,10 @@
 	must(wal.Init(r.fs, clusterName, r.id, nil))
 	c.replicas = append(c.replicas, r)
 	c.open(r)
-	c.joining, c.removing = r.id, removing
+	c.joining = r.id
+	if removing != 0 {
+		c.removing = append(c.removing, removing)
+	}
 }
 
 func (c *cluster) repair() {
@@ -575,7 +587,7 @@
 		if r.isFailed {
 			c.crash(r, false)
 		}
-		if r.node == nil && !r.isGone {
+		if r.node == nil && !r.isGone && !r.isAway {
 			c.open(r)
 		}
 	}
@@ -650,7 +662,7 @@
 	}
 	var views []replicaView
 	for _, r := range c.replicas {
-		if r.node == nil || r.isFailed || r.isGone {
+		if r.node == nil || r.isFailed || r.isGone || r.isOut {
 			continue
 		}
 		v := replicaView{name: fmt.Sprint(r.id), journal: r.journal, values: map[string]storedValue{}}
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -166,7 +166,7 @@
 }
 
 func flows() []flow {
-	return []flow{changeFlow()}
+	return []flow{changeFlow(), replicaFlow()}
 }
 
 // Guards against a break of the project's requirements by a fault at any step,
