Resume watches from progress marks, and send them

Cause: changes of one command share a version. An entry host whose stream ended between two of them resumed behind the version and never saw the rest, such as the new epoch of a second host. Replicas sent no marks, so an idle stream looked like a silent one for 10 s. Ruled out: the event window, which keeps the events of one command together.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -34,6 +35,9 @@
 		}
 		version = snap.Version
 	}
+	marks := time.NewTicker(markInterval)
+	defer marks.Stop()
+	due := false
 	for {
 		changed := s.Replica.Changed()
 		snap := s.Replica.Snapshot()
@@ -41,18 +45,46 @@
 		if fail != nil {
 			return answer.ConnectError(fail)
 		}
-		for _, e := range events {
-			if err := sendEvent(e, kinds, stream); err != nil {
+		sent, err := sendEvents(events, kinds, stream)
+		if err != nil {
+			return err
+		}
+		version = max(version, snap.Version)
+		if sent || due {
+			if err := stream.Send(&pb.WatchResponse{Version: version}); err != nil {
 				return err
 			}
 		}
-		version = max(version, snap.Version)
+		due = false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-marks.C:
+			due = true
+		}
+	}
+}
+
+// markInterval is the time after which a stream gets a progress mark even
+// without events, so that the client can tell an idle stream from a silent one.
+const markInterval = time.Second
+
+// sendEvents sends the events of the watched kinds and tells whether there were
+// any. Several events can share a version: only the mark that follows them says
+// that all of them were sent, and a client resumes from marks alone.
+func sendEvents(events []state.Event, kinds map[model.Kind]bool, stream *connect.ServerStream[pb.WatchResponse]) (bool, error) {
+	sent := false
+	for _, e := range events {
+		if len(kinds) > 0 && !kinds[e.Key.Kind] {
+			continue
+		}
+		if err := sendEvent(e, kinds, stream); err != nil {
+			return sent, err
 		}
+		sent = true
 	}
+	return sent, nil
 }
 
 // Forward implements the ControlService. It does not forward again, so that two
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -15,7 +15,10 @@
 // goroutine of the control client owns it; values is immutable once set.
 // Invariant: sent has what the dispatcher was told of each service.
 type configuration struct {
-	queue   queue
+	queue queue
+	// version is that of the last list or progress mark: every change up to it
+	// was taken. Changes behind it may be in force already; several can share a
+	// version, so a stream that ends among them is resumed before them.
 	version uint64
 	objects map[model.Key]model.Object
 	// list collects a list until it is whole.
@@ -66,14 +69,15 @@
 
 // apply takes one change or progress mark.
 func (c *configuration) apply(msg *pb.WatchResponse) error {
-	if msg.GetKind() != "" {
-		key, obj, err := decode(msg)
-		if err != nil {
-			return err
-		}
-		c.set(key, obj)
+	if msg.GetKind() == "" {
+		c.version = msg.GetVersion()
+		return nil
+	}
+	key, obj, err := decode(msg)
+	if err != nil {
+		return err
 	}
-	c.version = msg.GetVersion()
+	c.set(key, obj)
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/configuration_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "laburnumdock/gen/laburnumdock/v1"
+	"laburnumdock/internal/codec"
+	"laburnumdock/internal/core/model"
+)
+
+func hostMessage(t *testing.T, name string, version, epoch uint64) *pb.WatchResponse {
+	t.Helper()
+	host := &model.Host{Meta: model.Meta{Kind: model.KindHost, Name: name, Version: version}, Status: model.HostStatus{Epoch: epoch}}
+	data, err := codec.EncodeObject(host)
+	require.NoError(t, err)
+	return &pb.WatchResponse{Version: version, Kind: string(model.KindHost), Name: name, Object: data}
+}
+
+// Guards against a stream that ends between two changes of one version, after
+// which the second would never be seen: an epoch that stays unknown lets an old
+// endpoint serve.
+func TestChangesOfOneVersionAreResumedTogether(t *testing.T) {
+	c := newConfiguration(newQueue(16))
+	c.applyList(4)
+	require.NoError(t, c.apply(hostMessage(t, "a", 5, 2)))
+	require.Equal(t, uint64(4), c.version, "the stream may end here")
+	require.Equal(t, uint64(2), c.epochs["a"])
+	require.NoError(t, c.apply(hostMessage(t, "a", 5, 2)))
+	require.NoError(t, c.apply(hostMessage(t, "b", 5, 3)))
+	require.NoError(t, c.apply(&pb.WatchResponse{Version: 5}))
+	require.Equal(t, uint64(5), c.version)
+	require.Equal(t, uint64(3), c.epochs["b"])
+}
--- a/internal/entry/control_fake_test.go
+++ b/internal/entry/control_fake_test.go
@@ -174,7 +174,7 @@
 			at = e.GetVersion()
 		}
 	}
-	if r.marks {
+	if r.marks || len(out) > 0 {
 		out = append(out, &pb.WatchResponse{Version: r.visible()})
 	}
 	return out, at
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -83,7 +83,7 @@
 		DataDir:           s.String("control", "data-dir", "", true, "folder for the log and snapshots"),
 		Voters:            s.List("control", "voters", "", true, "first voters, as id=address of the peer listener; a replica that joins later names the running ones"),
 		HeartbeatInterval: s.Duration("control", "heartbeat-interval", 100*time.Millisecond, 10*time.Millisecond, 5*time.Second, "time between two heartbeats of the leader"),
-		ElectionTimeout:   s.Duration("control", "election-timeout", time.Second, 50*time.Millisecond, 30*time.Second, "silence of the leader after which an election starts"),
+		ElectionTimeout:   s.Duration("control", "election-timeout", 500*time.Millisecond, 50*time.Millisecond, 30*time.Second, "silence of the leader after which an election starts"),
 		SnapshotEntries:   s.Int("control", "snapshot-entries", 10_000, 100, 1_000_000, "entries", "entries after which the log is replaced by a snapshot"),
 		QueueLength:       s.Int("limits", "queue-length", 1024, 16, 65_536, "events", "events that may wait for the control loop"),
 		MaxBodyBytes:      s.Int("limits", "max-body-bytes", 1<<20, 1<<10, 64<<20, "bytes", "largest body of a request"),
