Keep what verbs have set when a manifest is applied again

Cause: applying the same manifest a second time was refused for a started wave and for a borrowed host, and resumed a paused wave. Change: a put of the API is marked as a declaration; the state keeps started, paused and cancelled, and the pool of a host that is away from its home pool. Verbs are not declarations.

--- a/internal/api/dryrun.go
+++ b/internal/api/dryrun.go
@@ -78,7 +78,7 @@
 			err.Field = fmt.Sprintf("objects[%d].%s", i, err.Field)
 			return nil, err
 		}
-		commands = append(commands, state.Put{Origin: state.Origin{Actor: actorOf(r), Time: a.Backend.Now()}, Object: obj, Expected: state.AnyVersion})
+		commands = append(commands, state.Put{Origin: state.Origin{Actor: actorOf(r), Time: a.Backend.Now()}, Object: obj, Expected: state.AnyVersion, Declared: true})
 	}
 	return commands, nil
 }
--- a/internal/api/resources.go
+++ b/internal/api/resources.go
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	expected, err := expectedVersion(r, obj.Head().Version)
-	return state.Put{Origin: origin, Object: obj, Expected: expected}, err
+	return state.Put{Origin: origin, Object: obj, Expected: expected, Declared: true}, err
 }
 
 // expectedVersion is the version that a change is based on.
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -97,6 +97,7 @@
 	Origin   state.Origin
 	Object   []byte
 	Expected uint64
+	Declared bool
 }
 
 // storedStatusStep is StatusStep with its resources in the stored form.
@@ -131,7 +132,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return seal("Put", storedPut{Origin: c.Origin, Object: object, Expected: c.Expected})
+		return seal("Put", storedPut{Origin: c.Origin, Object: object, Expected: c.Expected, Declared: c.Declared})
 	case state.StatusStep:
 		objects, err := encodeObjects(c.Objects)
 		if err != nil {
@@ -178,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return state.Put{Origin: s.Origin, Object: object, Expected: s.Expected}, nil
+	return state.Put{Origin: s.Origin, Object: object, Expected: s.Expected, Declared: s.Declared}, nil
 }
 
 func decodeStatusStep(body []byte) (state.Command, error) {
--- a/internal/core/state/command.go
+++ b/internal/core/state/command.go
@@ -35,6 +35,9 @@
 	// Expected is the version that the change is based on. 0 means that the
 	// resource must not exist; AnyVersion takes whatever there is.
 	Expected uint64
+	// Declared tells that the object is an operator's declaration, which is sent
+	// again as it is: what verbs and moves have set since is kept.
+	Declared bool
 }
 
 // AnyVersion as the expected version turns the version check off.
--- a/internal/core/state/references.go
+++ b/internal/core/state/references.go
@@ -128,6 +128,26 @@
 	return nil
 }
 
+// keepProgress keeps what verbs and moves have set in a resource that is
+// declared again: a manifest that is applied every evening must neither resume
+// a paused wave nor be refused because a wave is started or a host is borrowed.
+func keepProgress(obj, stored model.Object) {
+	switch o := obj.(type) {
+	case *model.Wave:
+		before := stored.(*model.Wave).Spec
+		o.Spec.Started = o.Spec.Started || before.Started
+		o.Spec.Paused = o.Spec.Paused || before.Paused
+		o.Spec.Cancelled = o.Spec.Cancelled || before.Cancelled
+	case *model.Job:
+		o.Spec.Cancelled = o.Spec.Cancelled || stored.(*model.Job).Spec.Cancelled
+	case *model.Host:
+		before := stored.(*model.Host)
+		if before.Status.HomePool != "" && o.Spec.Pool == before.Status.HomePool {
+			o.Spec.Pool = before.Spec.Pool
+		}
+	}
+}
+
 // checkWaveTransition keeps the order of a started wave: what was stopped and
 // returned already must have been chosen by the spec that is still there.
 func checkWaveTransition(wave, before *model.Wave) *fault.Error {
--- a/internal/core/state/state.go
+++ b/internal/core/state/state.go
@@ -192,7 +192,11 @@
 		return Result{Key: key, Err: fault.Field("metadata.kind", "a kind of resource", "kind %q is not known", key.Kind)}
 	}
 	stored := s.Get(key)
-	obj, err := s.prepare(c.Object.Clone(), stored, c.Expected)
+	obj := c.Object.Clone()
+	if c.Declared && stored != nil {
+		keepProgress(obj, stored)
+	}
+	obj, err := s.prepare(obj, stored, c.Expected)
 	if err != nil {
 		s.record(c.Origin, "put", key, versionOf(stored), versionOf(stored), err)
 		return Result{Key: key, Object: stored, Err: err}
--- a/internal/core/state/state_test.go
+++ b/internal/core/state/state_test.go
@@ -215,6 +215,35 @@
 	require.Equal(t, uint64(2), stored.Generation)
 }
 
+// Guards against a manifest that, applied again, resumes a paused wave, undoes a
+// cancellation, or is refused because a wave has started or a host is borrowed.
+func TestDeclaredAgainKeepsProgress(t *testing.T) {
+	b := fleet(t)
+	declare := func(obj model.Object) Result {
+		return b.do(Put{Origin: b.origin(), Object: obj, Expected: AnyVersion, Declared: true})
+	}
+	wave := b.Get(model.Key{Kind: model.KindWave, Name: "w"}).Clone().(*model.Wave)
+	manifest := wave.Clone().(*model.Wave)
+	manifest.Spec.Started, manifest.Spec.Paused = false, false
+	wave.Spec.Started, wave.Spec.Paused = true, true
+	require.Nil(t, b.put(wave).Err)
+	res := declare(manifest)
+	require.Nil(t, res.Err)
+	require.True(t, res.Object.(*model.Wave).Spec.Paused)
+	require.Equal(t, "spec.started", b.put(manifest).Err.Field, "a verb is not a declaration")
+
+	require.Nil(t, b.put(pool("cutting")).Err)
+	host := b.Get(model.Key{Kind: model.KindHost, Name: "h1"}).Clone().(*model.Host)
+	declared := host.Clone().(*model.Host)
+	host.Status.HomePool, host.Spec.Pool = host.Spec.Pool, "cutting"
+	b.set(host)
+	res = declare(declared)
+	require.Nil(t, res.Err)
+	require.Equal(t, "cutting", res.Object.(*model.Host).Spec.Pool)
+	declared.Spec.Pool = "tracking"
+	require.Equal(t, "spec.pool", declare(declared).Err.Field)
+}
+
 // Guards against a cancellation that is undone and an ended wave that changes.
 func TestEndedWorkStaysEnded(t *testing.T) {
 	b := fleet(t)
