Count a host as empty only once the platform drains it

Cause: a drain was judged by the time since its start alone. If the call that drains the host was lost or late, a listing that happened to show no work in flight 3 s after the start ended the drain, and the reboot or the move cut off the requests that the host still got.

Ruled out: a later settle time, because a call can be lost for longer.

Change: fleet.Drains reports a draining host with at least one request in flight until the platform has listed it as draining, under its current epoch, for the 3 s within which a partitioned entry host may send work.

Conclusion: a drain lasts up to the time between its start and the first listing that shows it longer than before.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -27,6 +27,7 @@
 type loop struct {
 	*Controller
 	planner   *fleet.Planner
+	drains    *fleet.Drains
 	scheduler *sched.Scheduler
 	demand    *fleet.Demand
 	leading   bool
@@ -159,6 +160,7 @@
 	l.leading = true
 	l.demand = fleet.NewDemand()
 	l.planner = fleet.NewPlanner(l.demand)
+	l.drains = fleet.NewDrains()
 	l.scheduler = sched.New()
 	l.last = listing{}
 	l.reports = nil
@@ -174,12 +176,9 @@
 	if l.last.asked.IsZero() || l.now().Sub(l.last.asked) >= state.HealthBound {
 		return
 	}
-	machines := l.last.Machines(l.last.asked)
-	observations := make([]state.HostObservation, len(machines))
-	for i, m := range machines {
-		observations[i] = m.HostObservation
-	}
-	if r, ok := fleet.Report(l.cfg.Backend.Snapshot(), observations, l.now()); ok {
+	snap := l.cfg.Backend.Snapshot()
+	observations := l.drains.Observations(snap, l.last.Machines(l.last.asked))
+	if r, ok := fleet.Report(snap, observations, l.now()); ok {
 		l.propose(ctx, r)
 	}
 }
--- /dev/null
+++ b/internal/core/fleet/drain_test.go
@@ -0,0 +1,38 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumdock/internal/core/fleet"
+	"laburnumdock/internal/core/model"
+	"laburnumdock/internal/core/state"
+)
+
+// Guards against a host that counts as empty although the call that drains it
+// was lost: it would be rebooted or moved with requests in flight.
+func TestHostIsNotEmptyBeforeThePlatformDrainsIt(t *testing.T) {
+	w := newWorld()
+	w.pool("a", nil)
+	w.hosts("a", 3)
+	w.budget("a", model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 1})
+	w.report(w.s.Snapshot())
+	name := w.names[0]
+	res := w.do(state.HostStep{Origin: w.origin(), Host: name, Expected: w.host(name).Version, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopDrain}})
+	require.Nil(t, res.Err)
+
+	drains := fleet.NewDrains()
+	inFlight := func(after time.Duration, isDraining bool, epoch uint64) int {
+		m := fleet.Machine{Epoch: epoch, Draining: isDraining}
+		m.Host, m.Observed = name, start.Add(after)
+		return drains.Observations(w.s.Snapshot(), []fleet.Machine{m})[0].InFlight
+	}
+	require.Equal(t, 1, inFlight(10*time.Second, false, 1), "the call was lost")
+	require.Equal(t, 1, inFlight(11*time.Second, true, 1), "a partitioned entry host may still send work")
+	require.Equal(t, 1, inFlight(13*time.Second, true, 1))
+	require.Equal(t, 0, inFlight(14*time.Second, true, 1))
+	require.Equal(t, 1, inFlight(15*time.Second, true, 0), "the drain is of an older epoch")
+	require.Equal(t, 1, inFlight(16*time.Second, true, 1), "the time counts again")
+}
