Measure the traffic policies beside their targets

Cause: the figures of the traffic policies came from benchmarks that print neither target nor spread, and nothing stores them.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN := bin
 
-.PHONY: help build run demo test fmt fmt-check lint unit generate
+.PHONY: help build run demo measure test fmt fmt-check lint unit generate
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -17,6 +17,9 @@
 demo: build ## bounded run of the main job: a wave under load (DEMO_FLAGS="--output json")
 	$(BIN)/dock-dev --deployment examples/$(DEPLOYMENT) demo $(DEMO_FLAGS)
 
+measure: build ## take the figures, print them beside their targets, store them in out/measure.json (QUICK=1 for a short run)
+	$(BIN)/dock-measure $(if $(QUICK),-quick)
+
 test: fmt-check lint unit ## formatter check, linter and all tests
 
 fmt: ## format the code
--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -23,6 +23,7 @@
 	Refused         map[fault.Kind]int
 	ShortWaitMedian time.Duration
 	ShortWaitP99    time.Duration
+	ShortWaitP999   time.Duration
 	ShortWaitMax    time.Duration
 	LongTotalMean   time.Duration
 	LongTotalP99    time.Duration
@@ -107,6 +108,7 @@
 	slices.Sort(total)
 	r.ShortWaitMedian = at(short, 50)
 	r.ShortWaitP99 = at(short, 99)
+	r.ShortWaitP999 = atPermille(short, 999)
 	r.ShortWaitMax = at(short, 100)
 	r.LongTotalP99 = at(total, 99)
 	r.LongTotalMean = mean(total)
@@ -114,11 +116,13 @@
 	return r
 }
 
-func at(sorted []time.Duration, percent int) time.Duration {
+func at(sorted []time.Duration, percent int) time.Duration { return atPermille(sorted, percent*10) }
+
+func atPermille(sorted []time.Duration, permille int) time.Duration {
 	if len(sorted) == 0 {
 		return 0
 	}
-	return sorted[min(len(sorted)*percent/100, len(sorted)-1)]
+	return sorted[min(len(sorted)*permille/1000, len(sorted)-1)]
 }
 
 func mean(list []time.Duration) time.Duration {
