--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -28,7 +28,7 @@
 const (
 	settleLimit = 15 * time.Second
 	beforeWave  = 2 * time.Second
-	waveLimit   = 40 * time.Second
+	waveLimit   = 45 * time.Second
 	sampleEvery = 20 * time.Millisecond
 	surgeLength = 3 * time.Second
 )
