Give each peer connection a TLS configuration of its own

Cause: found by a new test that runs three replicas and an entry host over TLS with the race detector: all transports of a replica shared one TLS configuration, and each adds its protocols to it when it is first used. Change: the configuration is cloned for each transport.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -93,14 +94,17 @@
 
 func newTransport(cfg Config) *http.Transport {
 	protocols := new(http.Protocols)
+	var tlsConfig *tls.Config
 	if cfg.TLS == nil {
 		protocols.SetUnencryptedHTTP2(true)
 	} else {
 		protocols.SetHTTP2(true)
+		// Each transport adds its protocols to its configuration.
+		tlsConfig = cfg.TLS.Clone()
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext: dialer.DialContext, TLSClientConfig: cfg.TLS, Protocols: protocols,
+		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig, Protocols: protocols,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -3,81 +3,23 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumdock/internal/process/certtest"
 	"laburnumdock/internal/settings"
 )
 
-// authority signs certificates for 127.0.0.1.
-type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T, name string) *authority {
-	t.Helper()
-	a := &authority{t: t, dir: t.TempDir()}
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	a.key = key
-	template := a.template(name, 1)
-	template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	a.cert, err = x509.ParseCertificate(der)
-	require.NoError(t, err)
-	a.write("ca.pem", "CERTIFICATE", der)
-	return a
-}
-
-func (a *authority) template(name string, serial int64) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-func (a *authority) write(name, kind string, der []byte) string {
-	path := filepath.Join(a.dir, name)
-	require.NoError(a.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-	return path
-}
-
-func (a *authority) issue(name string) (certFile, keyFile string) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(a.t, err)
-	der, err := x509.CreateCertificate(rand.Reader, a.template(name, 2), a.cert, &key.PublicKey, a.key)
-	require.NoError(a.t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	require.NoError(a.t, err)
-	return a.write(name+".pem", "CERTIFICATE", der), a.write(name+".key", "EC PRIVATE KEY", keyDER)
-}
-
-func (a *authority) ca() string { return filepath.Join(a.dir, "ca.pem") }
-
 // serveTLS runs a server that asks clients for a certificate of clients.
-func serveTLS(t *testing.T, servers, clients *authority) string {
+func serveTLS(t *testing.T, servers, clients *certtest.Authority) string {
 	t.Helper()
-	cert, key := servers.issue("server")
-	address, ca := "127.0.0.1:0", clients.ca()
+	cert, key := servers.Issue("server")
+	address, ca := "127.0.0.1:0", clients.CA()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) })
 	server, err := Listen(settings.Listener{Address: &address, CertFile: &cert, KeyFile: &key, ClientCAFile: &ca}, handler)
 	require.NoError(t, err)
@@ -108,12 +50,12 @@
 // Guards against a listener that talks to a client without a certificate, or
 // with one of another authority, and against a client that trusts any server.
 func TestTLSChecksBothSides(t *testing.T) {
-	servers, clients, other := newAuthority(t, "servers"), newAuthority(t, "clients"), newAuthority(t, "other")
+	servers, clients, other := certtest.New(t, "servers"), certtest.New(t, "clients"), certtest.New(t, "other")
 	address := serveTLS(t, servers, clients)
 	none := ""
-	cert, key := clients.issue("replica")
-	foreignCert, foreignKey := other.issue("replica")
-	serverCA, otherCA := servers.ca(), other.ca()
+	cert, key := clients.Issue("replica")
+	foreignCert, foreignKey := other.Issue("replica")
+	serverCA, otherCA := servers.CA(), other.CA()
 	proto, err := get(t, settings.ClientTLS{CAFile: &serverCA, CertFile: &cert, KeyFile: &key}, address)
 	require.NoError(t, err)
 	require.Equal(t, "HTTP/2.0", proto)
