Hold planned stops while a returned host is not served

Cause: a host counted as capacity from the entry that ended its stop. If the call that returns it to service was lost, the platform kept it from work, and the next stops of the pool took more hosts out of service than the budget allows.

Ruled out: reporting such a host as unhealthy, because a wave would take each return for a failure and pause.

Change: the planner gets the hosts that the newest listing still shows as draining and counts them as stopped.

Conclusion: the ledger in Apply does not know what the platform lists, so a stop that an operator asks for directly is not held by this.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -191,7 +191,9 @@
 	}
 	started := time.Now()
 	l.planner.Sync(snap)
-	result := l.planner.Plan(fleet.Input{Loads: l.loads, SlotsPerHost: l.cfg.SlotsPerHost}, now)
+	result := l.planner.Plan(fleet.Input{
+		Loads: l.loads, Unserved: fleet.Unserved(snap, l.last.Machines(l.last.asked)), SlotsPerHost: l.cfg.SlotsPerHost,
+	}, now)
 	l.meters.plan.UpdateSince(started)
 	l.loads = nil
 	l.next = result.Next
--- a/internal/core/fleet/drain.go
+++ b/internal/core/fleet/drain.go
@@ -55,3 +55,17 @@
 	}
 	return m.Observed.Sub(seen.at) >= state.DrainSettle
 }
+
+// Unserved returns the hosts that are active again and that the platform still
+// keeps from work, because the call that returns them to service was lost or is
+// late. They are no capacity yet.
+func Unserved(snap *state.Snapshot, machines []Machine) map[string]bool {
+	unserved := make(map[string]bool)
+	for _, m := range machines {
+		h, ok := snap.Get(model.Key{Kind: model.KindHost, Name: m.Host}).(*model.Host)
+		if ok && m.Draining && h.Status.Phase == model.HostActive {
+			unserved[m.Host] = true
+		}
+	}
+	return unserved
+}
--- a/internal/core/fleet/drain_test.go
+++ b/internal/core/fleet/drain_test.go
@@ -36,3 +36,37 @@
 	require.Equal(t, 1, inFlight(15*time.Second, true, 0), "the drain is of an older epoch")
 	require.Equal(t, 1, inFlight(16*time.Second, true, 1), "the time counts again")
 }
+
+// Guards against a stop that takes a pool below its budget because a host that
+// is active again was never told to serve.
+func TestUnservedHostIsNoCapacity(t *testing.T) {
+	w := newWorld()
+	w.pool("a", nil)
+	w.hosts("a", 3)
+	w.budget("a", model.BudgetSpec{MinHealthy: 1, MaxPlannedStops: 1})
+	w.wave("w", []string{"a"}, nil)
+	w.report(w.s.Snapshot())
+	m := fleet.Machine{Draining: true}
+	m.Host = w.names[2]
+
+	pl := fleet.NewPlanner(nil)
+	unserved := fleet.Unserved(w.s.Snapshot(), []fleet.Machine{m})
+	require.Equal(t, map[string]bool{m.Host: true}, unserved)
+	stops := func() int {
+		n := 0
+		for _, name := range w.names {
+			if w.host(name).Status.Stop != nil {
+				n++
+			}
+		}
+		return n
+	}
+	for range 5 {
+		w.round(pl, fleet.Input{Unserved: unserved})
+	}
+	require.Zero(t, stops())
+	for range 5 {
+		w.round(pl, fleet.Input{})
+	}
+	require.Equal(t, 1, stops())
+}
--- a/internal/core/fleet/index.go
+++ b/internal/core/fleet/index.go
@@ -73,7 +73,9 @@
 	movesIn map[string]int
 	demand  *Demand
 	slots   int
-	now     time.Time
+	// unserved is Input.Unserved of this plan.
+	unserved map[string]bool
+	now      time.Time
 	// round counts the plans.
 	round  uint64
 	result *Result
--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -16,6 +16,7 @@
 	for _, w := range pl.waves {
 		w.planned = 0
 	}
+	pl.unserved = in.Unserved
 	if in.SlotsPerHost > 0 {
 		pl.slots = in.SlotsPerHost
 	}
@@ -105,8 +106,13 @@
 	p.borrowed = 0
 	marked := pl.now.Sub(reported) <= state.HealthBound
 	for _, s := range p.ordered() {
-		available := s.host.Available() && state.HealthKnown(s.host, reported, pl.now)
-		p.capacity.Add(s.host, available)
+		host := s.host
+		available := host.Available() && state.HealthKnown(host, reported, pl.now)
+		if pl.unserved[host.Name] {
+			host, available = stillStopped(host), false
+			p.due = earliest(p.due, pl.now.Add(retryAfter))
+		}
+		p.capacity.Add(host, available)
 		if s.host.Status.HomePool != "" {
 			p.borrowed++
 		}
@@ -148,3 +154,11 @@
 	stopped.Status.Phase = model.HostDraining
 	p.capacity.Add(&stopped, false)
 }
+
+// stillStopped returns a host that is not back in service as the ledger counts
+// it until then.
+func stillStopped(h *model.Host) *model.Host {
+	stopped := *h
+	stopped.Status.Stop = &model.PlannedStop{Action: model.StopDrain}
+	return &stopped
+}
