--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -166,7 +166,7 @@
 }
 
 func flows() []flow {
-	return []flow{changeFlow(), replicaFlow()}
+	return []flow{changeFlow(), replicaFlow(), moveFlow(), waveFlow()}
 }
 
 // Guards against a break of the project's requirements by a fault at any step,
