Say that a request with an ID expired at the control replicas may have run

Cause: the entry host checks the expiry of an ID by its own clock. If the control replicas refuse the begin as expired, the answer was did not run, although an earlier try under the ID may have run and be forgotten.

Change: such a refusal is answered with ran unknown, as the entry host's own refusal is.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -340,3 +340,14 @@
 	// A begin that is taken late is closed as not run.
 	require.Equal(t, []Record{{ID: 10, Phase: RecordDidNotRun}}, of[Record](f.step(Recorded{ID: 10, Phase: RecordBegin})))
 }
+
+// Guards against "did not run" for a request ID that the control replicas call
+// expired: an earlier try under it may have run.
+func TestIDThatExpiredAtTheControlReplicasMayHaveRun(t *testing.T) {
+	f := newFixture(Config{})
+	f.announce("quotes", 1)
+	f.step(Arrive{Request: f.request(1, false)})
+	answers := of[Answer](f.step(Recorded{ID: 1, Phase: RecordBegin, Err: fault.New(fault.RequestIDExpired, "expired")}))
+	require.Len(t, answers, 1)
+	require.Equal(t, fault.RanUnknown, answers[0].Ran)
+}
--- a/internal/core/dispatch/finish.go
+++ b/internal/core/dispatch/finish.go
@@ -230,6 +230,10 @@
 // knownAnswer is the answer after a begin that was refused.
 func knownAnswer(r *request, e Recorded) Answer {
 	a := Answer{ID: r.id, Err: e.Err, Ran: fault.RanNo}
+	if e.Err != nil && e.Err.Kind == fault.RequestIDExpired {
+		// An earlier try under the ID may have run and be forgotten.
+		a.Ran = fault.RanUnknown
+	}
 	if e.Known == 0 || e.Err != nil && e.Err.Kind == fault.RequestIDReused {
 		return a
 	}
