Keep commas in settings of the command line

Found by the scenarios, which prepare data folders with another list of voters than the replicas run with. An INI file and DOCK_CONTROL_VOTERS were read right, so the settings themselves are ruled out.

The root command turns the cut off. Before: the new test fails with "override is not section.key=value of a known key". After: it passes, with and without a sub-command.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -52,6 +52,8 @@
 func Command(name, usage string, declare Declare, actions ...Action) *cli.Command {
 	root := &cli.Command{
 		Name: name, Usage: usage, Version: Version(),
+		// The value of a setting may itself be a list with commas.
+		DisableSliceFlagSeparator: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "INI file with the settings"},
 			&cli.StringSliceFlag{Name: "set", Usage: "override one setting, as section.key=value"},
