--- /dev/null
+++ b/internal/scenario/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package scenario
+
+// raceEnabled tells whether the processes are built with the race detector.
+const raceEnabled = false
