--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -124,13 +124,18 @@
 		if m.ID == s.Leader {
 			role = "leader"
 		}
-		fmt.Fprintf(t, "%d\t%s\t%t\t%t\t%d\t%s\n", m.ID, role, m.Reachable, m.CaughtUp, m.Match, m.Address)
+		reachable, caughtUp, match := "-", "-", "-"
+		if s.Known {
+			reachable, caughtUp = strconv.FormatBool(m.Reachable), strconv.FormatBool(m.CaughtUp)
+			match = strconv.FormatUint(m.Match, 10)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\n", m.ID, role, reachable, caughtUp, match, m.Address)
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
 	if !s.Known {
-		_, err := fmt.Fprintln(w, "no leader answered; the progress of the members is not known")
+		_, err := fmt.Fprintln(w, "the leader is not among the addresses that answered; the progress of the members is not known")
 		return err
 	}
 	_, err := fmt.Fprintf(w, "term %d, commit %d; %d further losses can be borne\n", s.Term, s.Commit, s.FurtherLosses)
