--- a/internal/faults/request_test.go
+++ b/internal/faults/request_test.go
@@ -395,7 +395,7 @@
 		s.message(entry, false, func() {
 			if !done && e.run == run {
 				done = true
-				s.recorded(entry, run, c, phase, rec, res)
+				s.recorded(entry, run, c, phase, res)
 			}
 		})
 	})
@@ -422,7 +422,7 @@
 	s.event(entry, run, dispatch.Recorded{ID: c.id, Phase: phase, Err: fault.New(fault.Unavailable, "no answer")})
 }
 
-func (s *requestScene) recorded(entry, run int, c *call, phase dispatch.RecordPhase, rec state.RequestRecord, res state.RequestResult) {
+func (s *requestScene) recorded(entry, run int, c *call, phase dispatch.RecordPhase, res state.RequestResult) {
 	ev := dispatch.Recorded{ID: c.id, Phase: phase, Err: res.Err}
 	if res.Recorded != nil && phase == dispatch.RecordBegin {
 		known := res.Recorded
