Hold long work back for less time when a surge begins

Cause: long work waited 250 ms before it could take the slots of a remembered peak, so that 48 of 80 slots were used while 35 long requests waited, and the backlog stayed to the end of the surge. Short work left the last slot of an endpoint that looked free. Change: PeakWait is 50 ms; short work of SplitLearned tries the last slot.

--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -21,7 +21,7 @@
 	peakSpan = time.Minute
 	// PeakWait is how long long work waits before it may take the slots that
 	// only a remembered peak needs. The demand of a new surge is known by then.
-	PeakWait = 250 * time.Millisecond
+	PeakWait = 50 * time.Millisecond
 	// shareSpan is the span over which this entry host's share of the load is
 	// averaged.
 	shareSpan = 2 * time.Second
@@ -133,7 +133,7 @@
 	if !e.routable(now) || e == w.Not {
 		return 0, false
 	}
-	free := t.free(e, now)
+	free := t.free(e, now, w.Long)
 	if free <= 0 {
 		return 0, false
 	}
--- a/internal/core/route/share.go
+++ b/internal/core/route/share.go
@@ -127,8 +127,10 @@
 	}
 }
 
-// free is the number of slots that this entry host may still take.
-func (t *Table) free(e *Endpoint, now time.Duration) int {
+// free is the number of slots that this entry host may still take. With
+// SplitLearned short work may try the last slot that looks free: a refusal
+// costs it one round trip, less than the wait for a slot.
+func (t *Table) free(e *Endpoint, now time.Duration, long bool) int {
 	if now < e.blockedUntil {
 		return 0
 	}
@@ -145,7 +147,7 @@
 			return e.Slots - e.InUse
 		}
 		lent := e.Slots - e.InUse - e.others(now)
-		if e.others(now) > 0 {
+		if e.others(now) > 0 && (long || t.cfg.Placement != SplitLearned) {
 			lent -= lendSlack
 		}
 		return max(min(e.quota, e.Slots)-e.InUse, lent)
