Give long work the reserve back soon after a surge

Cause: the reserve fell with the 300 ms average of short work, so that 44 to 48 of 80 slots were used 250 ms after a surge while 400 long requests waited, and one slot per endpoint stayed idle while the backlog ran. Ruled out by trial: long work over its limit on endpoints with 3 to 5 idle slots; it moves along the same exchange of short against long as the slack does. Change: the average falls with a 30 ms span when no short work waits and less than half of it is used; waited long work keeps 0.2 slots per endpoint free; an entry host's limit is rounded up.

--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -11,11 +11,16 @@
 	// random arrivals (square-root staffing).
 	DefaultSlack = 2.2
 	// demandSpan averages the demand of short work. If this entry host's own
-	// demand points to more than surgeRatio times the average, riseSpan holds:
-	// a surge is answered before long work fills the slots.
+	// demand points to more than surgeRatio times the average, changeSpan holds:
+	// a surge is answered before long work fills the slots. It also holds when
+	// no short work waits and the demand is below the average by that ratio, so
+	// that the reserve is free for long work soon after a surge.
 	demandSpan = 300 * time.Millisecond
-	riseSpan   = 30 * time.Millisecond
+	changeSpan = 30 * time.Millisecond
 	surgeRatio = 2
+	// idleShare is the least reserve by the number of endpoints against long
+	// work that has waited for PeakWait.
+	idleShare = 0.2
 	// peakSpan is how long a peak of the demand of short work is remembered:
 	// several surges of a queue.
 	peakSpan = time.Minute
@@ -158,15 +163,15 @@
 func (e *Endpoint) reserve(aged bool) int {
 	s := e.service
 	n := len(s.endpoints)
-	whole := s.demand.peak
+	whole, least := s.demand.peak, 1
 	if aged {
-		whole = s.demand.reserve
+		whole, least = s.demand.reserve, 0
 	}
 	r := whole / n
 	if e.order < whole%n {
 		r++
 	}
-	return max(r-1, 1)
+	return max(r-1, least)
 }
 
 func (s *Service) randomIndex(n int) int {
@@ -226,19 +231,29 @@
 	span := demandSpan
 	if inferred := float64(own) / share; inferred > surgeRatio*max(d.short, 1) {
 		current = max(current, inferred)
-		span = riseSpan
+		span = changeSpan
+	}
+	if waiting == 0 && current*surgeRatio < d.short {
+		span = changeSpan
 	}
 	d.short += (1 - math.Exp(-step/float64(span))) * (current - d.short)
 	need := d.short + t.cfg.Slack*math.Sqrt(d.short)
 	d.held = max(need, d.held*math.Exp(-step/float64(peakSpan)))
-	// Long work keeps one slot of every endpoint, so that it never starves, and
-	// short work another one, so that a surge finds room.
+	// Long work keeps one slot of every endpoint, so that it never starves. Short
+	// work keeps another one, so that a surge finds room, but for long work that
+	// has waited.
 	n := len(s.endpoints)
-	bound := func(v float64) int { return min(max(int(math.Ceil(v)), n), max(s.slots-n, 0)) }
-	d.reserve = bound(need)
-	d.peak = bound(d.held)
-	d.longLimit = max(int(math.Round(share*float64(s.slots-d.reserve))), 1)
-	d.peakLimit = max(int(math.Round(share*float64(s.slots-d.peak))), 1)
+	bound := func(v, least float64) int { return min(int(math.Ceil(max(v, least))), max(s.slots-n, 0)) }
+	d.reserve = bound(need, idleShare*float64(n))
+	d.peak = bound(d.held, float64(n))
+	d.longLimit = longLimit(share, s.slots-d.reserve)
+	d.peakLimit = longLimit(share, s.slots-d.peak)
+}
+
+// longLimit is an entry host's part of the slots for long work. It is rounded
+// up, because hosts that use less leave slots idle.
+func longLimit(share float64, slots int) int {
+	return max(int(math.Ceil(share*float64(slots))), 1)
 }
 
 // ownShare is this entry host's share of the recent load, at least an equal
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -209,3 +209,54 @@
 		}
 	}
 }
+
+// Guards against slots that stay idle while long work has waited and no short
+// work comes, and against long work that takes all slots.
+func TestAgedLongWorkTakesIdleReserve(t *testing.T) {
+	tb := newTable(Config{}, 1, 10)
+	s := tb.Service("s0")
+	tb.Observe(s, time.Millisecond, 0)
+	long := 0
+	for {
+		e := tb.Pick(s, 1, Wish{Long: true, Aged: true})
+		if e == nil {
+			break
+		}
+		tb.Start(e, true)
+		long++
+	}
+	require.Greater(t, long, 10*7)
+	require.Less(t, long, 10*8)
+}
+
+// Guards against a reserve that outlasts the surge it was for.
+func TestReserveFallsAfterSurge(t *testing.T) {
+	tb := newTable(Config{}, 1, 10)
+	s := tb.Service("s0")
+	now := time.Duration(0)
+	observe := func(span time.Duration, waiting int) {
+		for end := now + span; now < end; {
+			now += 10 * time.Millisecond
+			tb.Observe(s, now, waiting)
+		}
+	}
+	observe(time.Second, 30)
+	require.Greater(t, s.Reserve(), 30)
+	observe(150*time.Millisecond, 0)
+	require.Less(t, s.Reserve(), 10)
+}
+
+// Guards against short work that waits while an endpoint may have a free slot,
+// and against long work that collides with peers for it.
+func TestShortWorkTriesTheLastSlot(t *testing.T) {
+	tb := newTable(Config{Self: "entry-0"}, 1, 1)
+	s := tb.Service("s0")
+	e := tb.Endpoint("s0-e0")
+	tb.PeerUse(0, "entry-1", 1, []PeerSlots{{Endpoint: e.Name, InUse: 3}})
+	for range 4 {
+		tb.Start(e, false)
+	}
+	tb.Observe(s, time.Millisecond, 0)
+	require.Nil(t, tb.Pick(s, 1, Wish{Long: true, Aged: true}))
+	require.Equal(t, e, tb.Pick(s, 1, Wish{}))
+}
