Share the set-ups of tests and benchmarks with measurements

Cause: measurements need the fleet model, filled data folders, replicas and entry hosts over loopback that only test files had. Change: the model of a fleet moves to core/fleet/fleettest, with the roll-out of a wave over both users' fleets; sizes of jobs to sched/schedtest, announcements to member/membertest, a filled region to wal/waltest, replicas over loopback to control/controltest, an entry host with stand-ins and load to entry/entrytest. Tests and benchmarks use them; no check changed.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -11,11 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"laburnumdock/internal/codec"
-	"laburnumdock/internal/core/model"
-	"laburnumdock/internal/core/raft"
-	"laburnumdock/internal/core/state"
 	"laburnumdock/internal/wal"
+	"laburnumdock/internal/wal/waltest"
 )
 
 // quantile returns a quantile of durations in milliseconds.
@@ -114,7 +111,8 @@
 func BenchmarkRestore(b *testing.B) {
 	fs, err := wal.Dir(b.TempDir())
 	require.NoError(b, err)
-	last := fillRegion(b, fs, 10_000)
+	last, err := waltest.FillRegion(fs, "test", 2000, 10_000)
+	require.NoError(b, err)
 	cfg := Config{ID: 1, Cluster: "test"}
 	for b.Loop() {
 		replica, err := OpenFS(cfg, fs)
@@ -132,40 +130,3 @@
 		b.StartTimer()
 	}
 }
-
-// fillRegion prepares a folder with a snapshot and entries after it, and returns
-// the index of the last one.
-func fillRegion(b *testing.B, fs wal.FS, count int) uint64 {
-	s := state.New()
-	pool := &model.Pool{Meta: model.Meta{Kind: model.KindPool, Name: "pool-0"}, Spec: model.PoolSpec{MaxHosts: 2000}}
-	origin := state.Origin{Actor: "bench", Source: "bench", Time: time.Now().UTC()}
-	require.Nil(b, s.Apply(1, state.Put{Origin: origin, Object: pool, Expected: state.AnyVersion}).Err)
-	const hosts = 2000
-	for i := range uint64(hosts) {
-		host := &model.Host{
-			Meta: model.Meta{Kind: model.KindHost, Name: fmt.Sprintf("host-%d", i)},
-			Spec: model.HostSpec{Pool: "pool-0", Zone: fmt.Sprintf("zone-%d", i%3), Rack: fmt.Sprintf("rack-%d", i/4), Cores: 32, MemoryMB: 65536},
-		}
-		require.Nil(b, s.Apply(i+2, state.Put{Origin: origin, Object: host, Expected: state.AnyVersion}).Err)
-	}
-	data, err := encodeImage(s.Dump(), nil)
-	require.NoError(b, err)
-	meta := raft.SnapshotMeta{Index: hosts + 1, Term: 1, Members: raft.Membership{Voters: []uint64{1}}}
-	require.NoError(b, wal.Init(fs, "test", 1, &raft.Snapshot{Meta: meta, Data: data}))
-	log, _, err := wal.Open(wal.Options{FS: fs, Cluster: "test", Replica: 1})
-	require.NoError(b, err)
-	for at := 0; at < count; at += 100 {
-		var entries []raft.Entry
-		for i := at; i < at+100; i++ {
-			cmd := putTeam(i)
-			cmd.Origin = origin
-			cmd.Origin.ChangeID, cmd.Origin.IssuedAt = fmt.Sprintf("change-%d", i), origin.Time
-			command, err := codec.EncodeCommand(cmd)
-			require.NoError(b, err)
-			entries = append(entries, raft.Entry{Index: meta.Index + 1 + uint64(i), Term: 1, Data: command})
-		}
-		require.NoError(b, log.Append(raft.HardState{Term: 1}, entries))
-	}
-	require.NoError(b, log.Close())
-	return meta.Index + uint64(count)
-}
--- a/internal/core/dispatch/bench_test.go
+++ b/internal/core/dispatch/bench_test.go
@@ -8,18 +8,15 @@
 
 	"github.com/stretchr/testify/require"
 
-	"laburnumdock/internal/core/member"
+	"laburnumdock/internal/core/member/membertest"
 	"laburnumdock/internal/core/route"
 )
 
 // fleet announces services with their endpoints.
 func fleet(services, endpoints int) *Dispatcher {
 	d := NewWith(Config{EntryHost: "entry-1"})
-	for n := range endpoints {
-		d.Step(start, Announced{Announcement: member.Announcement{
-			Endpoint: fmt.Sprint("endpoint-", n), Host: fmt.Sprint("host-", n), Service: serviceName(n % services), Address: fmt.Sprint("10.0.0.1:", n), Epoch: 1,
-			Incarnation: 1, Sequence: 1, Slots: 8, Connections: 64, Rack: fmt.Sprint(n / 4), Zone: fmt.Sprint(n % 3), Heard: start,
-		}})
+	for _, a := range membertest.Announcements(services, endpoints, start) {
+		d.Step(start, Announced{Announcement: a})
 	}
 	for p := range 6 {
 		d.Step(start, PeerUse{Peer: fmt.Sprint("entry-", p+2), Incarnation: 1})
@@ -27,7 +24,7 @@
 	return d
 }
 
-func serviceName(n int) string { return fmt.Sprint("service-", n) }
+func serviceName(n int) string { return membertest.ServiceName(n) }
 
 var sizes = []struct{ services, endpoints int }{{5, 60}, {238, 16000}}
 
--- a/internal/core/fleet/bench_test.go
+++ b/internal/core/fleet/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumdock/internal/core/fleet"
+	"laburnumdock/internal/core/fleet/fleettest"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
 )
@@ -14,31 +15,12 @@
 // benchSizes are the sizes for which costs are given.
 var benchSizes = []int{50, 500, 5000, 16000}
 
-// sized has a fleet with pools in the proportion of 238 to 16,000 hosts, a wave
-// over all of them and a spare pool from which every pool may borrow.
-func sized(hosts int) *world {
-	w := newWorld()
-	pools := max(6, hosts*238/16000)
-	var names []string
-	w.pool("spare", func(p *model.PoolSpec) { p.Spare = true })
-	for i := range pools {
-		name := fmt.Sprintf("pool-%03d", i)
-		names = append(names, name)
-		w.pool(name, func(p *model.PoolSpec) { p.SpareFrom = "spare" })
-		w.hosts(name, hosts/pools)
-		w.budget(name, model.BudgetSpec{MinHealthy: hosts / pools / 2, MaxPlannedStops: 3, SurviveRack: true, SurviveZone: false})
-	}
-	w.hosts("spare", hosts-hosts/pools*pools)
-	w.report(w.s.Snapshot())
-	w.wave("w", names, func(s *model.WaveSpec) { s.MaxParallel = max(2, hosts/100) })
-	w.plan(fleet.NewPlanner(nil), fleet.Input{})
-	return w
-}
+func sized(hosts int) *world { return &world{fleettest.Sized(hosts)} }
 
 func BenchmarkFullPlan(b *testing.B) {
 	for _, hosts := range benchSizes {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			snap := sized(hosts).s.Snapshot()
+			snap := sized(hosts).S.Snapshot()
 			for b.Loop() {
 				fleet.Plan(snap, fleet.Input{}, start.Add(time.Second))
 			}
@@ -54,19 +36,19 @@
 			w := sized(hosts)
 			pl := fleet.NewPlanner(nil)
 			for range 3 {
-				w.plan(pl, fleet.Input{})
+				w.Plan(pl, fleet.Input{})
 			}
 			b.ResetTimer()
 			for i := range b.N {
 				b.StopTimer()
-				m := w.machines[w.names[i*7919%hosts]]
-				m.up = !m.up
-				w.now = w.now.Add(time.Millisecond)
-				w.report(w.s.Snapshot())
-				snap := w.s.Snapshot()
+				m := w.Machines[w.Names[i*7919%hosts]]
+				m.Up = !m.Up
+				w.Now = w.Now.Add(time.Millisecond)
+				w.Report(w.S.Snapshot())
+				snap := w.S.Snapshot()
 				b.StartTimer()
 				pl.Sync(snap)
-				pl.Plan(fleet.Input{}, w.now)
+				pl.Plan(fleet.Input{}, w.Now)
 			}
 		})
 	}
@@ -76,9 +58,9 @@
 	for _, hosts := range benchSizes {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			w := sized(hosts)
-			snap, listing := w.s.Snapshot(), w.listing()
+			snap, listing := w.S.Snapshot(), w.Listing()
 			for b.Loop() {
-				fleet.Report(snap, listing, w.now.Add(time.Second))
+				fleet.Report(snap, listing, w.Now.Add(time.Second))
 			}
 		})
 	}
@@ -88,10 +70,10 @@
 	for _, hosts := range benchSizes {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			w := sized(hosts)
-			name := w.names[0]
+			name := w.Names[0]
 			for b.Loop() {
-				w.commit(state.HostStep{Origin: w.origin(), Host: name, Expected: state.AnyVersion, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopDrain}})
-				w.commit(state.HostStep{Origin: w.origin(), Host: name, Expected: state.AnyVersion, Cancel: true})
+				w.Commit(state.HostStep{Origin: w.Origin(), Host: name, Expected: state.AnyVersion, To: model.HostDraining, Stop: &model.PlannedStop{Action: model.StopDrain}})
+				w.Commit(state.HostStep{Origin: w.Origin(), Host: name, Expected: state.AnyVersion, Cancel: true})
 			}
 		})
 	}
@@ -113,11 +95,11 @@
 			for range b.N {
 				base := heapBytes()
 				w := sized(hosts)
-				w.machines = nil
+				w.Machines = nil
 				withState := heapBytes()
 				pl := fleet.NewPlanner(nil)
-				pl.Sync(w.s.Snapshot())
-				pl.Plan(fleet.Input{}, w.now)
+				pl.Sync(w.S.Snapshot())
+				pl.Plan(fleet.Input{}, w.Now)
 				withPlanner := heapBytes()
 				b.ReportMetric(float64(withState-base)/float64(hosts), "state-B/host")
 				b.ReportMetric(float64(withPlanner-withState)/float64(hosts), "planner-B/host")
--- a/internal/core/fleet/checker_test.go
+++ b/internal/core/fleet/checker_test.go
@@ -21,7 +21,7 @@
 
 func newChecker(w *world) *checker {
 	c := &checker{w: w, reboots: make(map[string]int)}
-	w.seen = c.check
+	w.Seen = c.check
 	return c
 }
 
@@ -75,7 +75,7 @@
 func (c *checker) checkReboot(host *model.Host) {
 	name := host.Status.Stop.Wave
 	c.reboots[name+"/"+host.Name]++
-	if wave, ok := c.w.s.Get(model.Key{Kind: model.KindWave, Name: name}).(*model.Wave); ok && slices.Contains(wave.Status.Done, host.Name) {
+	if wave, ok := c.w.S.Get(model.Key{Kind: model.KindWave, Name: name}).(*model.Wave); ok && slices.Contains(wave.Status.Done, host.Name) {
 		c.fail("wave %s reboots %s again", name, host.Name)
 	}
 }
@@ -89,8 +89,8 @@
 }
 
 func (c *checker) checkDrained(host *model.Host) {
-	if m := c.w.machines[host.Name]; m.up && m.inFlight > 0 {
-		c.fail("%s counts as drained with %d in flight", host.Name, m.inFlight)
+	if m := c.w.Machines[host.Name]; m.Up && m.InFlight > 0 {
+		c.fail("%s counts as drained with %d in flight", host.Name, m.InFlight)
 	}
 }
 
@@ -107,7 +107,7 @@
 		if h.Status.Stop != nil {
 			stops++
 		}
-		if h.Status.Phase == model.HostActive && c.w.now.Sub(c.w.machines[h.Name].healthyAt) <= 10*time.Second {
+		if h.Status.Phase == model.HostActive && c.w.Now.Sub(c.w.Machines[h.Name].HealthyAt) <= 10*time.Second {
 			left = append(left, h)
 		}
 	}
--- a/internal/core/fleet/history_test.go
+++ b/internal/core/fleet/history_test.go
@@ -36,41 +36,41 @@
 func newHistory(draw chooser) *history {
 	h := &history{world: newWorld(), draw: draw, demand: fleet.NewDemand(), load: 1 + draw(200)}
 	h.planners = [2]*fleet.Planner{fleet.NewPlanner(h.demand), fleet.NewPlanner(h.demand)}
-	h.inFlight = func(string) int { return draw(4) }
-	h.late = func(string) int { return draw(2) }
-	h.pool("spare", func(p *model.PoolSpec) { p.Spare, p.MinDwellSeconds = true, 30 })
-	h.pool("web", func(p *model.PoolSpec) { p.SpareFrom, p.MaxHosts, p.MinDwellSeconds = "spare", 14, 30 })
-	h.pool("jobs", func(p *model.PoolSpec) { p.MaxHosts = 20 })
-	h.hosts("spare", 5)
-	h.hosts("web", 12)
-	h.hosts("jobs", 12)
-	h.budget("spare", model.BudgetSpec{MinHealthy: 2, MaxPlannedStops: 2})
-	h.budget("web", model.BudgetSpec{MinHealthy: 6 + draw(3), MaxPlannedStops: 1 + draw(3), SurviveRack: draw(2) == 0})
-	h.budget("jobs", model.BudgetSpec{MinHealthy: 4 + draw(3), MaxPlannedStops: 1 + draw(3), SurviveZone: draw(2) == 0})
-	h.report(h.s.Snapshot())
-	h.old = h.s.Snapshot()
-	h.wave("w1", []string{"web", "jobs"}, func(w *model.WaveSpec) { w.MaxParallel = 1 + draw(4) })
-	h.wave("w2", []string{"jobs", "spare"}, func(w *model.WaveSpec) { w.MaxParallel = 2 })
+	h.InFlight = func(string) int { return draw(4) }
+	h.Late = func(string) int { return draw(2) }
+	h.Pool("spare", func(p *model.PoolSpec) { p.Spare, p.MinDwellSeconds = true, 30 })
+	h.Pool("web", func(p *model.PoolSpec) { p.SpareFrom, p.MaxHosts, p.MinDwellSeconds = "spare", 14, 30 })
+	h.Pool("jobs", func(p *model.PoolSpec) { p.MaxHosts = 20 })
+	h.Hosts("spare", 5)
+	h.Hosts("web", 12)
+	h.Hosts("jobs", 12)
+	h.Budget("spare", model.BudgetSpec{MinHealthy: 2, MaxPlannedStops: 2})
+	h.Budget("web", model.BudgetSpec{MinHealthy: 6 + draw(3), MaxPlannedStops: 1 + draw(3), SurviveRack: draw(2) == 0})
+	h.Budget("jobs", model.BudgetSpec{MinHealthy: 4 + draw(3), MaxPlannedStops: 1 + draw(3), SurviveZone: draw(2) == 0})
+	h.Report(h.S.Snapshot())
+	h.old = h.S.Snapshot()
+	h.Wave("w1", []string{"web", "jobs"}, func(w *model.WaveSpec) { w.MaxParallel = 1 + draw(4) })
+	h.Wave("w2", []string{"jobs", "spare"}, func(w *model.WaveSpec) { w.MaxParallel = 2 })
 	return h
 }
 
-func (h *history) any() string { return h.names[h.draw(len(h.names))] }
+func (h *history) any() string { return h.Names[h.draw(len(h.Names))] }
 
 // step is one random event.
 func (h *history) step() {
 	switch h.draw(16) {
 	case 0, 1, 2, 3:
-		h.advance(time.Duration(200+h.draw(4000)) * time.Millisecond)
-		h.work()
-		h.report(h.s.Snapshot())
+		h.Advance(time.Duration(200+h.draw(4000)) * time.Millisecond)
+		h.Work()
+		h.Report(h.S.Snapshot())
 	case 4:
-		h.advance(time.Duration(h.draw(12000)) * time.Millisecond)
-		h.work()
+		h.Advance(time.Duration(h.draw(12000)) * time.Millisecond)
+		h.Work()
 	case 5:
-		h.report(h.old)
+		h.Report(h.old)
 	case 6, 7:
-		h.old = h.s.Snapshot()
-		h.platform()
+		h.old = h.S.Snapshot()
+		h.Platform()
 	case 8, 9, 10:
 		h.planWith(h.draw(2))
 	case 11:
@@ -89,7 +89,7 @@
 // planWith plans on the newest or on the old snapshot and proposes a part of
 // the commands now and the rest later.
 func (h *history) planWith(i int) {
-	snap := h.s.Snapshot()
+	snap := h.S.Snapshot()
 	if i == 1 {
 		snap = h.old
 	}
@@ -99,48 +99,48 @@
 		h.planners[i] = pl
 	}
 	pl.Sync(snap)
-	in := fleet.Input{Loads: []fleet.Load{{EntryHost: "e", Service: "web", InFlight: h.draw(h.load), Observed: h.now}}}
-	commands := pl.Plan(in, h.now).Commands
+	in := fleet.Input{Loads: []fleet.Load{{EntryHost: "e", Service: "web", InFlight: h.draw(h.load), Observed: h.Now}}}
+	commands := pl.Plan(in, h.Now).Commands
 	cut := h.draw(len(commands) + 1)
 	for _, cmd := range commands[:cut] {
-		h.do(cmd)
+		h.Do(cmd)
 	}
 	h.pending = append(h.pending, commands[cut:]...)
 }
 
 func (h *history) proposePending() {
 	for _, cmd := range h.pending {
-		h.do(cmd)
+		h.Do(cmd)
 	}
 	h.pending = nil
 }
 
 func (h *history) fail() {
 	victim := h.any()
-	spec := h.host(victim).Spec
+	spec := h.Host(victim).Spec
 	scope := h.draw(6)
-	for _, name := range h.names {
-		other := h.host(name).Spec
+	for _, name := range h.Names {
+		other := h.Host(name).Spec
 		hit := name == victim || scope == 1 && other.Rack == spec.Rack || scope == 2 && other.Zone == spec.Zone
-		if m := h.machines[name]; hit && m.backAt.IsZero() {
-			m.up = false
+		if m := h.Machines[name]; hit && m.BackAt.IsZero() {
+			m.Up = false
 		}
 	}
 }
 
 func (h *history) heal() {
 	all := h.draw(2) == 0
-	for _, name := range h.names {
-		if m := h.machines[name]; m.backAt.IsZero() && (all || h.draw(2) == 0) {
-			m.up = true
-			m.healthyAt = h.now
+	for _, name := range h.Names {
+		if m := h.Machines[name]; m.BackAt.IsZero() && (all || h.draw(2) == 0) {
+			m.Up = true
+			m.HealthyAt = h.Now
 		}
 	}
 }
 
 // operate is an operator who acts on an old or the current version.
 func (h *history) operate() {
-	snap := h.s.Snapshot()
+	snap := h.S.Snapshot()
 	if h.draw(2) == 0 {
 		snap = h.old
 	}
@@ -148,7 +148,7 @@
 	if !ok {
 		return
 	}
-	c := state.HostStep{Origin: h.origin(), Host: host.Name, Expected: host.Version}
+	c := state.HostStep{Origin: h.Origin(), Host: host.Name, Expected: host.Version}
 	if h.draw(8) == 0 {
 		c.Expected = state.AnyVersion
 	}
@@ -163,34 +163,34 @@
 	case 3:
 		c.To, c.Stop = model.HostDraining, &model.PlannedStop{Action: model.StopMove, TargetPool: pools[h.draw(3)]}
 	}
-	h.do(c)
+	h.Do(c)
 }
 
 func (h *history) pause() {
-	wave := h.waveOf("w1").Clone().(*model.Wave)
+	wave := h.WaveOf("w1").Clone().(*model.Wave)
 	wave.Spec.Paused = !wave.Spec.Paused
-	h.do(state.Put{Origin: h.origin(), Object: wave, Expected: wave.Version})
+	h.Do(state.Put{Origin: h.Origin(), Object: wave, Expected: wave.Version})
 }
 
 // settle ends the faults and the operators' work, and runs one leader until
 // the waves are finished or ten hours have passed.
 func (h *history) settle() bool {
 	h.pending = nil
-	h.inFlight, h.late = nil, nil
-	for _, name := range h.names {
-		if m := h.machines[name]; m.backAt.IsZero() {
-			m.up = true
+	h.InFlight, h.Late = nil, nil
+	for _, name := range h.Names {
+		if m := h.Machines[name]; m.BackAt.IsZero() {
+			m.Up = true
 		}
 	}
-	if h.waveOf("w1").Spec.Paused {
+	if h.WaveOf("w1").Spec.Paused {
 		h.pause()
 	}
 	h.fitBudgets()
 	pl := fleet.NewPlanner(nil)
 	for range 36_000 {
-		h.round(pl, fleet.Input{})
+		h.Round(pl, fleet.Input{})
 		h.releaseDrained()
-		if h.waveOf("w1").Status.Phase == model.WaveFinished && h.waveOf("w2").Status.Phase == model.WaveFinished {
+		if h.WaveOf("w1").Status.Phase == model.WaveFinished && h.WaveOf("w2").Status.Phase == model.WaveFinished {
 			return true
 		}
 	}
@@ -201,10 +201,10 @@
 // hosts that no stop is possible even without a fault.
 func (h *history) fitBudgets() {
 	for _, pool := range []string{"spare", "web", "jobs"} {
-		b := h.s.Get(model.Key{Kind: model.KindBudget, Name: pool}).Clone().(*model.Budget)
+		b := h.S.Get(model.Key{Kind: model.KindBudget, Name: pool}).Clone().(*model.Budget)
 		hosts, racks, zones := 0, make(map[string]int), make(map[string]int)
-		for _, name := range h.names {
-			host := h.host(name)
+		for _, name := range h.Names {
+			host := h.Host(name)
 			leaves := host.Status.Stop != nil && host.Status.Stop.Action == model.StopMove
 			if spec := host.Spec; spec.Pool == pool && !leaves {
 				hosts++
@@ -224,16 +224,16 @@
 			}
 		}
 		b.Spec.MinHealthy = max(0, min(b.Spec.MinHealthy, hosts-1-worst))
-		h.put(b)
+		h.Put(b)
 	}
 }
 
 // releaseDrained cancels the drains of operators, which only they end.
 func (h *history) releaseDrained() {
-	for _, name := range h.names {
-		host := h.host(name)
+	for _, name := range h.Names {
+		host := h.Host(name)
 		if stop := host.Status.Stop; host.Status.Phase == model.HostDrained && stop.Action == model.StopDrain && stop.Wave == "" {
-			h.do(state.HostStep{Origin: h.origin(), Host: name, Expected: host.Version, Cancel: true})
+			h.Do(state.HostStep{Origin: h.Origin(), Host: name, Expected: host.Version, Cancel: true})
 		}
 	}
 }
@@ -257,10 +257,10 @@
 		return c.faults
 	}
 	if !h.settle() {
-		c.fail("waves do not finish after the faults healed: w1 %+v, w2 %+v", h.waveOf("w1").Status, h.waveOf("w2").Status)
+		c.fail("waves do not finish after the faults healed: w1 %+v, w2 %+v", h.WaveOf("w1").Status, h.WaveOf("w2").Status)
 	}
 	for _, wave := range []string{"w1", "w2"} {
-		c.checkComplete(h.waveOf(wave))
+		c.checkComplete(h.WaveOf(wave))
 	}
 	return c.faults
 }
@@ -272,8 +272,8 @@
 	for _, name := range append(wave.Status.Done, wave.Status.Skipped...) {
 		done[name] = true
 	}
-	for _, name := range c.w.names {
-		h := c.w.host(name)
+	for _, name := range c.w.Names {
+		h := c.w.Host(name)
 		for _, pool := range wave.Spec.Pools {
 			if h.Spec.Pool == pool && h.Status.PoolSince.Before(wave.Status.Finished) && !done[name] {
 				c.fail("wave %s is finished without %s", wave.Name, name)
@@ -315,13 +315,13 @@
 // loosen replaces the budgets while a command is applied.
 func (h *history) loosen(cmd state.Command, change func(*model.BudgetSpec)) state.Result {
 	for _, pool := range []string{"spare", "web", "jobs"} {
-		kept := h.s.Get(model.Key{Kind: model.KindBudget, Name: pool}).Clone().(*model.Budget)
+		kept := h.S.Get(model.Key{Kind: model.KindBudget, Name: pool}).Clone().(*model.Budget)
 		loose := kept.Clone().(*model.Budget)
 		change(&loose.Spec)
-		h.commit(state.Put{Origin: h.origin(), Object: loose, Expected: state.AnyVersion})
-		defer h.commit(state.Put{Origin: h.origin(), Object: kept, Expected: state.AnyVersion})
+		h.Commit(state.Put{Origin: h.Origin(), Object: loose, Expected: state.AnyVersion})
+		defer h.Commit(state.Put{Origin: h.Origin(), Object: kept, Expected: state.AnyVersion})
 	}
-	return h.commit(cmd)
+	return h.Commit(cmd)
 }
 
 // Guards against a checker that finds nothing: each rule is broken on purpose.
@@ -338,46 +338,46 @@
 	}
 	for _, test := range tests {
 		broken(t, test.name, test.want, func(h *history) {
-			h.apply = func(cmd state.Command) state.Result {
+			h.Apply = func(cmd state.Command) state.Result {
 				if c, ok := cmd.(state.HostStep); ok && c.To == model.HostDraining {
 					return h.loosen(cmd, test.loosen)
 				}
-				return h.commit(cmd)
+				return h.Commit(cmd)
 			}
 		})
 	}
 	broken(t, "marks of old listings are taken", "healthy hosts of", func(h *history) {
-		h.apply = func(cmd state.Command) state.Result {
+		h.Apply = func(cmd state.Command) state.Result {
 			c, ok := cmd.(state.HostReport)
 			if !ok {
-				return h.commit(cmd)
+				return h.Commit(cmd)
 			}
 			for i := range c.Marks {
 				c.Marks[i].Base = state.AnyVersion
-				c.Marks[i].Observed = h.now
+				c.Marks[i].Observed = h.Now
 			}
 			c.Hosts = nil
-			return h.commit(c)
+			return h.Commit(c)
 		}
 	})
 	broken(t, "drain without a late report", "counts as drained", func(h *history) {
-		h.apply = func(cmd state.Command) state.Result {
+		h.Apply = func(cmd state.Command) state.Result {
 			if c, ok := cmd.(state.HostStep); ok && c.To == model.HostDraining {
-				res := h.commit(cmd)
+				res := h.Commit(cmd)
 				if res.Err == nil {
 					h.forgeDrained(c.Host)
 				}
 				return res
 			}
-			return h.commit(cmd)
+			return h.Commit(cmd)
 		}
 	})
 }
 
 // forgeDrained reports a draining host as empty, whatever it still runs.
 func (h *history) forgeDrained(host string) {
-	h.commit(state.HostReport{Origin: state.Origin{Time: h.now.Add(state.DrainSettle)}, Hosts: []state.HostObservation{{
-		Host: host, Health: model.HealthHealthy, BootID: h.host(host).Status.BootID, Observed: h.now.Add(state.DrainSettle),
+	h.Commit(state.HostReport{Origin: state.Origin{Time: h.Now.Add(state.DrainSettle)}, Hosts: []state.HostObservation{{
+		Host: host, Health: model.HealthHealthy, BootID: h.Host(host).Status.BootID, Observed: h.Now.Add(state.DrainSettle),
 	}}})
 }
 
@@ -387,7 +387,7 @@
 	w := newWorld()
 	w.hosts2()
 	c := &checker{w: w, reboots: make(map[string]int)}
-	old := w.host("a-000")
+	old := w.Host("a-000")
 	pairs := map[string]func(*model.Host){
 		"goes back":             func(h *model.Host) { h.Status.Epoch = 0 },
 		"changes its pool from": func(h *model.Host) { h.Spec.Pool = "b" },
@@ -404,7 +404,7 @@
 }
 
 func (w *world) hosts2() {
-	w.pool("a", nil)
-	w.pool("b", nil)
-	w.hosts("a", 2)
+	w.Pool("a", nil)
+	w.Pool("b", nil)
+	w.Hosts("a", 2)
 }
--- a/internal/core/sched/bench_test.go
+++ b/internal/core/sched/bench_test.go
@@ -7,38 +7,14 @@
 
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/sched"
+	"laburnumdock/internal/core/sched/schedtest"
 	"laburnumdock/internal/core/state"
 )
 
-// sized has pools in the proportion of 238 to 16,000 hosts and two tasks per
-// host, half of them running.
 func sized(hosts int) *world {
-	w := newWorld()
-	pools := max(6, hosts*238/16000)
-	for i := range pools {
-		p := model.New(model.KindPool).(*model.Pool)
-		p.Name = fmt.Sprintf("pool-%03d", i)
-		w.put(p)
-		job := func(name string) {
-			w.job(name, func(j *model.JobSpec) { j.Pool, j.Tasks = p.Name, hosts/pools })
-		}
-		job(p.Name + "-running")
-		job(p.Name + "-new")
-	}
-	r := state.HostReport{Origin: w.origin()}
-	for i := range hosts {
-		h := model.New(model.KindHost).(*model.Host)
-		h.Name = fmt.Sprintf("host-%05d", i)
-		h.Spec = model.HostSpec{Pool: fmt.Sprintf("pool-%03d", i%pools), Zone: fmt.Sprintf("zone-%02d", i/pools%3), Rack: fmt.Sprintf("rack-%d", i/pools/4), Cores: 32, MemoryMB: 64 << 10}
-		w.put(h)
-		r.Hosts = append(r.Hosts, state.HostObservation{Host: h.Name, Health: model.HealthHealthy, BootID: "b", Observed: w.now})
-	}
-	w.apply(r)
-	for _, cmd := range sched.New().Plan(w.s.Snapshot(), sched.Input{}, w.now).Commands {
-		if c, ok := cmd.(state.TaskStep); ok && len(c.Job) > 8 && c.Job[len(c.Job)-3:] != "new" {
-			w.apply(c)
-		}
-	}
+	w := &world{s: state.New(), now: start}
+	w.apply = func(cmd state.Command) state.Result { return w.s.Apply(w.s.Version()+1, cmd) }
+	schedtest.Fill(w.s, hosts, w.now)
 	return w
 }
 
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -1,28 +1,20 @@
 package entry_test
 
 import (
-	"bytes"
-	"fmt"
-	"io"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
 
-	"laburnumdock/internal/entry"
+	"laburnumdock/internal/entry/entrytest"
 	"laburnumdock/internal/standin"
 )
 
 // Sizes of the benchmarks.
 const (
 	benchEndpoints = 4
-	benchBody      = 512
-	benchCallers   = 64
 	benchRound     = 500 * time.Millisecond
 	benchRounds    = 20
 	benchRunTime   = 20 * time.Millisecond
@@ -30,57 +22,16 @@
 	halfLoad = benchEndpoints * standin.DefaultSlots * int(time.Second/benchRunTime) / 2
 )
 
-// way is one way from a caller to an endpoint.
-type way struct {
-	name string
-	url  func() string
-}
-
 // benchWays starts the endpoints and returns the ways to them: a direct call,
 // the reverse proxy of the standard library, and an entry host.
-func benchWays(b *testing.B, slots int, runTime time.Duration) (*cell, []way) {
+func benchWays(b *testing.B, slots int, runTime time.Duration) (*entrytest.Cell, []entrytest.Way) {
 	b.Helper()
-	c := newCell(b, cellConfig{endpoints: benchEndpoints, endpoint: func(cfg *standin.EndpointConfig) {
-		cfg.Announcement.Slots, cfg.Announcement.Connections = slots, 4096
-		cfg.RunTime = func(string) time.Duration { return runTime }
-	}})
-	c.client.Transport.(*http.Transport).MaxIdleConnsPerHost = 1024
-	var next atomic.Uint64
-	pick := func() string { return "http://" + c.endpoints[next.Add(1)%benchEndpoints].Address() }
-	proxy := &httputil.ReverseProxy{
-		Rewrite: func(r *httputil.ProxyRequest) {
-			target, _ := url.Parse(pick())
-			r.SetURL(target)
-		},
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true},
-	}
-	l := listen(b)
-	serveHTTP(b, l, proxy)
-	return c, []way{
-		{"direct", func() string { return pick() + "/price" }},
-		{"proxy", func() string { return "http://" + l.Addr().String() + "/price" }},
-		{"entry", func() string { return c.hosts[0].url + "/v1/services/quotes/price" }},
-	}
-}
-
-func benchCall(client *http.Client, address string, body []byte) error {
-	req, err := http.NewRequest(http.MethodPut, address, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set(entry.HeaderRepeatable, "true")
-	res, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return err
-	}
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode)
-	}
-	return nil
+	c, err := entrytest.Start(entrytest.Options{Hosts: 1, Endpoints: benchEndpoints, Slots: slots, RunTime: runTime})
+	require.NoError(b, err)
+	b.Cleanup(c.Close)
+	ways, err := c.Ways()
+	require.NoError(b, err)
+	return c, ways
 }
 
 // BenchmarkThroughput measures answers a second with many callers in a closed
@@ -92,38 +43,17 @@
 	failed := make([]int64, len(ways))
 	for range benchRounds {
 		for i, w := range ways {
-			ok, bad := closedLoop(c.client, w, benchRound)
+			ok, bad := c.ClosedLoop(w, benchRound)
 			done[i] += ok
 			failed[i] += bad
 		}
 	}
 	for i, w := range ways {
-		b.ReportMetric(float64(done[i])/(benchRounds*benchRound).Seconds(), w.name+"-req/s")
-		b.ReportMetric(float64(failed[i]), w.name+"-failed")
+		b.ReportMetric(float64(done[i])/(benchRounds*benchRound).Seconds(), w.Name+"-req/s")
+		b.ReportMetric(float64(failed[i]), w.Name+"-failed")
 	}
 }
 
-// closedLoop sends requests from many callers, each after its last answer.
-func closedLoop(client *http.Client, w way, length time.Duration) (answered, failures int64) {
-	var done, failed atomic.Int64
-	body := make([]byte, benchBody)
-	end := time.Now().Add(length)
-	var callers sync.WaitGroup
-	for range benchCallers {
-		callers.Go(func() {
-			for time.Now().Before(end) {
-				if benchCall(client, w.url(), body) != nil {
-					failed.Add(1)
-					continue
-				}
-				done.Add(1)
-			}
-		})
-	}
-	callers.Wait()
-	return done.Load(), failed.Load()
-}
-
 // BenchmarkLatencyHalfLoad measures the latency at half of what the slots of
 // the endpoints carry, with requests sent at a fixed rate whatever the
 // answers. The ways take turns in short rounds, so that other load on the
@@ -133,11 +63,11 @@
 	total := make([]*hdrhistogram.Histogram, len(ways))
 	failed := make([]int64, len(ways))
 	for i := range ways {
-		total[i] = newLatencies()
+		total[i] = entrytest.NewLatencies()
 	}
 	for round := range benchRounds {
 		for i, w := range ways {
-			h, n := openLoop(c.client, w, halfLoad, benchRound)
+			h, n := c.OpenLoop(w, halfLoad, benchRound)
 			if round == 0 {
 				// The first round opens the connections.
 				continue
@@ -147,42 +77,10 @@
 		}
 	}
 	for i, w := range ways {
-		b.ReportMetric(float64(total[i].ValueAtQuantile(50))/1e3, w.name+"-p50-us")
-		b.ReportMetric(float64(total[i].ValueAtQuantile(99))/1e3, w.name+"-p99-us")
-		b.ReportMetric(float64(failed[i]), w.name+"-failed")
-	}
-}
-
-func newLatencies() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute), 3) }
-
-// openLoop sends requests at a rate and returns the latencies from when each
-// was due, and the number that failed.
-func openLoop(client *http.Client, w way, rate int, length time.Duration) (*hdrhistogram.Histogram, int64) {
-	var mu sync.Mutex
-	h := newLatencies()
-	var failed atomic.Int64
-	body := make([]byte, benchBody)
-	var callers sync.WaitGroup
-	start := time.Now()
-	for i := range benchCallers {
-		callers.Go(func() {
-			gap := time.Second * benchCallers / time.Duration(rate)
-			due := start.Add(gap * time.Duration(i) / benchCallers)
-			for ; due.Sub(start) < length; due = due.Add(gap) {
-				time.Sleep(time.Until(due))
-				if benchCall(client, w.url(), body) != nil {
-					failed.Add(1)
-					continue
-				}
-				took := int64(time.Since(due))
-				mu.Lock()
-				_ = h.RecordValue(took)
-				mu.Unlock()
-			}
-		})
+		b.ReportMetric(float64(total[i].ValueAtQuantile(50))/1e3, w.Name+"-p50-us")
+		b.ReportMetric(float64(total[i].ValueAtQuantile(99))/1e3, w.Name+"-p99-us")
+		b.ReportMetric(float64(failed[i]), w.Name+"-failed")
 	}
-	callers.Wait()
-	return h, failed.Load()
 }
 
 // BenchmarkRecordedRequest measures a request that must not be repeated against
@@ -198,7 +96,7 @@
 	}{
 		{"no records", false, []string{newFakeControl(b).start().url}},
 		{"one replica without a disk", true, []string{newFakeControl(b).start().url}},
-		{"three replicas", true, []string{replicas[0].url, replicas[1].url, replicas[2].url}},
+		{"three replicas", true, []string{replicas[0].URL, replicas[1].URL, replicas[2].URL}},
 	} {
 		b.Run(bc.name, func(b *testing.B) {
 			c := newCell(b, cellConfig{endpoints: benchEndpoints, control: bc.control})
--- a/internal/entry/replicas_test.go
+++ b/internal/entry/replicas_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -12,59 +11,21 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
-	"laburnumdock/internal/control"
+	"laburnumdock/internal/control/controltest"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
 )
 
-// realReplica is a control replica with its log in a temporary folder.
-type realReplica struct {
-	*control.Replica
-	url    string
-	cancel context.CancelCauseFunc
-	ended  chan error
-	server *http.Server
-}
-
-func startReplicas(t testing.TB, n uint64) []*realReplica {
+func startReplicas(t testing.TB, n uint64) []*controltest.Replica {
 	t.Helper()
-	listeners := make(map[uint64]net.Listener)
-	urls := make(map[uint64]string)
-	var voters []uint64
-	for id := uint64(1); id <= n; id++ {
-		listeners[id] = listen(t)
-		urls[id] = "http://" + listeners[id].Addr().String()
-		voters = append(voters, id)
-	}
-	var list []*realReplica
-	for _, id := range voters {
-		cfg := control.Config{ID: id, Cluster: "test", Peers: urls, Dir: t.TempDir()}
-		require.NoError(t, control.InitCluster(cfg, voters))
-		replica, err := control.Open(cfg)
-		require.NoError(t, err)
-		mux := http.NewServeMux()
-		mux.Handle(replica.RaftHandler())
-		mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: replica}))
-		ctx, cancel := context.WithCancelCause(context.Background())
-		r := &realReplica{Replica: replica, url: urls[id], cancel: cancel, ended: make(chan error, 1), server: serveHTTP(t, listeners[id], mux)}
-		go func() { r.ended <- replica.Run(ctx) }()
-		t.Cleanup(r.kill)
-		list = append(list, r)
-	}
-	return list
-}
-
-// kill ends a replica as a crash does.
-func (r *realReplica) kill() {
-	_ = r.server.Close()
-	r.cancel(control.ErrAbandon)
-	<-r.ended
-	r.ended <- nil
+	c, err := controltest.Start(controltest.Options{Replicas: n, Dir: t.TempDir()})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c.Replicas
 }
 
-func putReal(t testing.TB, replicas []*realReplica, value string) {
+func putReal(t testing.TB, replicas []*controltest.Replica, value string) {
 	t.Helper()
 	cmd := state.Put{
 		Origin: state.Origin{Actor: "test", Source: "test", ChangeID: value, IssuedAt: time.Now()}, Expected: state.AnyVersion,
@@ -84,7 +45,7 @@
 	replicas := startReplicas(t, 3)
 	var urls []string
 	for _, r := range replicas {
-		urls = append(urls, r.url)
+		urls = append(urls, r.URL)
 	}
 	c := newCell(t, cellConfig{hosts: 2, endpoints: 2, control: urls})
 	putReal(t, replicas, "1")
@@ -117,8 +78,8 @@
 	time.Sleep(500 * time.Millisecond)
 	followed := c.status(c.hosts[0]).Configuration.Replica
 	for i, r := range replicas {
-		if r.url == followed {
-			r.kill()
+		if r.URL == followed {
+			r.Kill()
 			replicas = append(replicas[:i:i], replicas[i+1:]...)
 			break
 		}
