--- a/internal/evaluate/evaluate.go
+++ b/internal/evaluate/evaluate.go
@@ -25,9 +25,11 @@
 	ShortWaitP99    time.Duration
 	ShortWaitP999   time.Duration
 	ShortWaitMax    time.Duration
-	LongTotalMean   time.Duration
-	LongTotalP99    time.Duration
-	LongWaitMean    time.Duration
+	// ShortWaits are all waits of short work in surges, sorted.
+	ShortWaits    []time.Duration
+	LongTotalMean time.Duration
+	LongTotalP99  time.Duration
+	LongWaitMean  time.Duration
 	// Attempts were sent, Refusals of them found no free slot.
 	Attempts, Refusals int
 	// PeakSlots is the most slots that were in use on one executor.
@@ -106,6 +108,7 @@
 	r.SlotsLong = float64(m.longSum) / slots
 	slices.Sort(short)
 	slices.Sort(total)
+	r.ShortWaits = short
 	r.ShortWaitMedian = at(short, 50)
 	r.ShortWaitP99 = at(short, 99)
 	r.ShortWaitP999 = atPermille(short, 999)
--- a/internal/measure/figure.go
+++ b/internal/measure/figure.go
@@ -44,6 +44,14 @@
 	LoadAverage string    `json:"loadAverage"`
 	Seconds     float64   `json:"seconds"`
 	Figures     []Figure  `json:"figures"`
+
+	waits []waits
+}
+
+// waits are those of short work with one policy, for the first seed.
+type waits struct {
+	user, policy string
+	sorted       []time.Duration
 }
 
 // Add adds a figure without a target.
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -15,15 +15,33 @@
 	AtLeast bool `json:"atLeast,omitempty"`
 }
 
-// The targets of the design page, section 11.
+// The targets of the design page, section 11, and the limits of section 2 for
+// the size in two years.
 var (
 	targetShortVsBase   = Target{Bound: evaluate.TargetShortVsBase, Unit: "ratio"}
 	targetShortVsNoLong = Target{Bound: evaluate.TargetShortVsNoLong, Unit: "ratio"}
 	targetLongVsBase    = Target{Bound: evaluate.TargetLongVsBase, Unit: "ratio"}
+	targetFullPlan      = Target{Bound: 100, Unit: "ms"}
+	targetPlanChange    = Target{Bound: 1, Unit: "ms"}
+	targetLeaderLoss    = Target{Bound: 2, Unit: "s"}
+	targetRestore       = Target{Bound: 1, Unit: "s"}
+	targetInForce       = Target{Bound: 1, Unit: "s"}
+	targetDecisionSmall = Target{Bound: 2, Unit: "us"}
+	targetDecisionLarge = Target{Bound: 5, Unit: "us"}
+	targetAllocations   = Target{Bound: 0, Unit: "allocations"}
+	targetAddedLatency  = Target{Bound: 1, Unit: "ms"}
+	targetThroughput    = Target{Bound: 0.6, Unit: "ratio", AtLeast: true}
+	limitCore           = Target{Bound: 1.2, Unit: "% of a core"}
+	limitMemory         = Target{Bound: 64, Unit: "MB"}
+	limitWire           = Target{Bound: 26, Unit: "KB/s"}
+	limitHosts          = Target{Bound: 37, Unit: "hosts"}
 )
 
 // judge returns the share by which a figure meets the target.
 func (t Target) judge(value float64) (float64, Verdict) {
+	if t.Bound == value {
+		return 1, Pass
+	}
 	share := t.Bound / value
 	if t.AtLeast {
 		share = value / t.Bound
