--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// DefaultSlack keeps the chance that short work finds no slot near 1% for
-	// random arrivals (square-root staffing).
-	DefaultSlack = 2.2
+	// DefaultSlack is the factor of square-root staffing. 2.2 would keep the
+	// chance that short work finds no slot near 1% for random arrivals; 1.5 holds
+	// short work below 0.05 of the baseline and costs long work less.
+	DefaultSlack = 1.5
 	// demandSpan averages the demand of short work. If this entry host's own
 	// demand points to more than surgeRatio times the average, changeSpan holds:
 	// a surge is answered before long work fills the slots. It also holds when
--- a/internal/core/route/share.go
+++ b/internal/core/route/share.go
@@ -129,7 +129,8 @@
 
 // free is the number of slots that this entry host may still take. With
 // SplitLearned short work may try the last slot that looks free: a refusal
-// costs it one round trip, less than the wait for a slot.
+// costs it one round trip, less than the wait for a slot. It does not do so
+// after a refusal, because refusals use up the budget of moves.
 func (t *Table) free(e *Endpoint, now time.Duration, long bool) int {
 	if now < e.blockedUntil {
 		return 0
@@ -147,7 +148,7 @@
 			return e.Slots - e.InUse
 		}
 		lent := e.Slots - e.InUse - e.others(now)
-		if e.others(now) > 0 && (long || t.cfg.Placement != SplitLearned) {
+		if e.others(now) > 0 && (long || e.refusals > 0 || t.cfg.Placement != SplitLearned) {
 			lent -= lendSlack
 		}
 		return max(min(e.quota, e.Slots)-e.InUse, lent)
--- a/internal/evaluate/bench_test.go
+++ b/internal/evaluate/bench_test.go
@@ -66,7 +66,7 @@
 		silent := chosen
 		silent.NoStatement = true
 		show("no-statement", DefaultLoad(), silent)
-		for _, slack := range []float64{0.01, 1, 3} {
+		for _, slack := range []float64{0.01, 1, 2.2, 3} {
 			p := chosen
 			p.Slack = slack
 			show(fmt.Sprintf("slack=%.1f", slack), DefaultLoad(), p)
