--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,9 @@
 	// BalancerDelay is how long the load balancer needs to notice that the
 	// host is not ready; DrainTimeout bounds the wait for requests in flight.
 	BalancerDelay, DrainTimeout time.Duration
+	// Slack is the factor of the square root in the reserve for short work; 0
+	// means the default of the router.
+	Slack float64
 	// Client calls peers and control replicas. The default speaks HTTP/2
 	// without TLS.
 	Client  *http.Client
@@ -126,7 +129,7 @@
 	for _, address := range cfg.Peers {
 		h.peers = append(h.peers, newPeer(h, address))
 	}
-	h.loop = newLoop(h, dispatch.NewWith(dispatch.Config{EntryHost: cfg.Name, Seed: h.incarnation}))
+	h.loop = newLoop(h, dispatch.NewWith(dispatch.Config{EntryHost: cfg.Name, Seed: h.incarnation, Slack: cfg.Slack}))
 	return h
 }
 
--- a/internal/evaluate/trace.go
+++ b/internal/evaluate/trace.go
@@ -20,13 +20,16 @@
 	LocalDelay, ZoneDelay time.Duration
 	// ShortRun is the mean run time of short work.
 	ShortRun time.Duration
+	// Slack is the reserve for short work that the deployment sets; a policy
+	// with a slack of its own overrides it.
+	Slack float64
 }
 
 // Deployments returns the services of the two users by the design page.
 func Deployments() []Deployment {
 	return []Deployment{
-		{Name: "slidecraft", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 500 * time.Microsecond, ShortRun: 4 * time.Millisecond},
-		{Name: "memoria-vie", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 1500 * time.Microsecond, ShortRun: 8 * time.Millisecond},
+		{Name: "slidecraft", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 500 * time.Microsecond, ShortRun: 4 * time.Millisecond, Slack: 2.2},
+		{Name: "memoria-vie", Executors: 10, Slots: 8, EntryHosts: 7, Zones: 3, LocalDelay: 100 * time.Microsecond, ZoneDelay: 1500 * time.Microsecond, ShortRun: 8 * time.Millisecond, Slack: 1.5},
 	}
 }
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -25,7 +25,7 @@
 		QueueLength: *s.QueueLength, MaxBodyBytes: int64(*s.MaxBodyBytes),
 		DefaultDeadline: *s.DefaultDeadline, MaxDeadline: *s.MaxDeadline,
 		BalancerDelay: *s.BalancerDelay, DrainTimeout: *s.ShutdownLimit,
-		Client: client, Log: log, Metrics: registry,
+		Slack: float64(*s.ReservePercent) / percent, Client: client, Log: log, Metrics: registry,
 	})
 	return serveEntry(ctx, s, host, host.Handler(), log)
 }
@@ -50,6 +50,9 @@
 	return group.Wait()
 }
 
+// percent is the unit of settings that are shares.
+const percent = 100
+
 func baseURLs(c settings.ClientTLS, addresses []string) []string {
 	var urls []string
 	for _, address := range addresses {
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -108,6 +108,7 @@
 	ShutdownLimit   *time.Duration
 	QueueLength     *int
 	MaxBodyBytes    *int
+	ReservePercent  *int
 }
 
 // NewEntry declares the keys of an entry host.
@@ -126,6 +127,8 @@
 		ShutdownLimit:   s.Duration("entry", "shutdown-limit", 10*time.Minute, time.Second, time.Hour, "longest graceful shutdown"),
 		QueueLength:     s.Int("limits", "queue-length", 4096, 64, 262_144, "events", "events that may wait for the control loop"),
 		MaxBodyBytes:    s.Int("limits", "max-body-bytes", 1<<20, 1<<10, 64<<20, "bytes", "largest body of a request or an answer"),
+		ReservePercent: s.Int("routing", "short-work-reserve", 150, 1, 1000, "percent",
+			"slots kept free for short work, as a share of the square root of its demand; more lets short work wait less and long work longer"),
 	}
 }
 
