--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,6 +62,8 @@
 		Reader: in, Writer: out, ErrWriter: errOut,
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Sources: cli.EnvVars("DOCK_CONFIG"), Usage: "INI file with the settings below, in the section [dockctl]"},
+			&cli.BoolFlag{Name: "check-config", Usage: "check the INI file and exit"},
 			&cli.StringFlag{Name: "control", Value: "http://127.0.0.1:7101", Sources: cli.EnvVars("DOCK_CONTROL"), Usage: "addresses of control replicas, separated by commas"},
 			&cli.StringFlag{Name: "token-file", Sources: cli.EnvVars("DOCK_TOKEN_FILE"), Usage: "file with the bearer token"},
 			&cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "time for one call, with all its tries"},
@@ -71,6 +73,8 @@
 			applyCommand(), getCommand(), describeCommand(), watchCommand(), deleteCommand(),
 			drainCommand(), moveCommand(), cancelCommand(), waveCommand(), clusterCommand(), auditCommand(), versionCommand(),
 		},
+		Before:                          readConfig,
+		Action:                          runRoot,
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
 		// The caller of Run decides about exit and messages.
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -252,3 +254,27 @@
 	require.Equal(t, ExitOK, exitCode(nil))
 	require.Equal(t, ExitUsage, exitCode(usagef("x")))
 }
+
+// Guards against an INI file that wins over the command line, whose values are
+// not taken, or whose mistakes are taken for defaults.
+func TestConfigFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "dockctl.ini")
+	run := func(text string, args ...string) (int, string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		var out bytes.Buffer
+		code := Run(t.Context(), append([]string{"dockctl", "--config", path}, args...), nil, &out, &out)
+		return code, out.String()
+	}
+	code, out := run("[dockctl]\noutput = json\ncontrol = 127.0.0.1:1\n", "--check-config")
+	require.Equal(t, ExitOK, code, out)
+	code, out = run("[dockctl]\noutput = xml\ntimeout = 1\ncolour = red\n", "--check-config")
+	require.Equal(t, ExitUsage, code)
+	for _, key := range []string{"output", "timeout", "colour"} {
+		require.Contains(t, out, key)
+	}
+	code, out = run("[dockctl]\ncontrol = ,\n", "get", "pools")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, out, "names no address", "the address of the file is used")
+	code, out = run("[dockctl]\ncontrol = ,\ntimeout = 1s\n", "--control", "127.0.0.1:1", "get", "pools")
+	require.Equal(t, ExitUnavailable, code, out)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,8 +20,13 @@
 	Help     string
 	Required bool
 	parse    func(string) error
+	// value is what Load took.
+	value string
 }
 
+// Value returns the text of the value that Load took.
+func (k *Key) Value() string { return k.value }
+
 // Problem is one wrong key.
 type Problem struct {
 	File, Section, Key, Value, Allowed, Message string
@@ -191,6 +196,7 @@
 	if err := k.parse(value); err != nil {
 		return &Problem{File: origin, Section: k.Section, Key: k.Name, Value: value, Allowed: k.Allowed, Message: err.Error()}
 	}
+	k.value = value
 	return nil
 }
 
