--- a/internal/api/audit.go
+++ b/internal/api/audit.go
@@ -63,19 +63,10 @@
 }
 
 func (a *api) describe(w http.ResponseWriter, r *http.Request) {
-	key, err := keyOf(r)
-	if err != nil {
-		answer.WriteError(w, err)
-		return
-	}
-	snap := a.read(w, r)
-	if snap == nil {
-		return
-	}
-	obj := snap.Get(key)
+	snap, obj := a.readObject(w, r)
 	if obj == nil {
-		answer.WriteError(w, missing(key))
 		return
 	}
-	answer.WriteJSON(w, http.StatusOK, Description{Version: snap.Version, Object: obj, Waits: explain.Waits(snap, key)})
+	waits := explain.Waits(snap, obj.Head().Key())
+	answer.WriteJSON(w, http.StatusOK, Description{Version: snap.Version, Object: obj, Waits: waits})
 }
--- a/internal/api/resources.go
+++ b/internal/api/resources.go
@@ -44,21 +44,29 @@
 }
 
 func (a *api) get(w http.ResponseWriter, r *http.Request) {
-	key, fail := keyOf(r)
-	if fail != nil {
-		answer.WriteError(w, fail)
-		return
+	if _, obj := a.readObject(w, r); obj != nil {
+		answer.WriteJSON(w, http.StatusOK, obj)
+	}
+}
+
+// readObject returns the resource that the path names, with the snapshot it is
+// from. It answers the request itself if there is none.
+func (a *api) readObject(w http.ResponseWriter, r *http.Request) (*state.Snapshot, model.Object) {
+	key, err := keyOf(r)
+	if err != nil {
+		answer.WriteError(w, err)
+		return nil, nil
 	}
 	snap := a.read(w, r)
 	if snap == nil {
-		return
+		return nil, nil
 	}
 	obj := snap.Get(key)
 	if obj == nil {
 		answer.WriteError(w, missing(key))
-		return
+		return nil, nil
 	}
-	answer.WriteJSON(w, http.StatusOK, obj)
+	return snap, obj
 }
 
 func missing(key model.Key) *fault.Error {
