Look executors up by host and look at waves at intervals

A wave asked for the executor of each of its hosts by a search through all executors, several times in each step of the loop, and its hosts were sorted with such a search in each comparison. Executors now stand in a roster by number, in order and by host; a wave is looked at every 50 ms; runs of lasting steps and runs to end are counted as they come and go; a scheduling pass sorts only the jobs with tasks that wait, with their outlook worked out once, and tries the tasks of a step that ask for the same only until one finds no executor.

--- a/internal/core/manager/contact.go
+++ b/internal/core/manager/contact.go
@@ -76,6 +76,9 @@
 	ex   *jobs.Executor
 	runs map[runKey]*run
 	used jobs.Resources
+	// lasting and stopping count the runs of lasting steps and those to end.
+	lasting  int
+	stopping int
 
 	confirmed bool
 	draining  bool
@@ -159,11 +162,22 @@
 func (c *contact) add(r *run) {
 	c.runs[r.key] = r
 	c.used = c.used.Plus(r.room)
+	c.count(r, 1)
+}
+
+func (c *contact) count(r *run, by int) {
+	if r.step.Lasting {
+		c.lasting += by
+	}
+	if r.stop {
+		c.stopping += by
+	}
 }
 
 func (c *contact) remove(r *run) {
 	if c.runs[r.key] == r {
 		delete(c.runs, r.key)
 		c.used = c.used.Minus(r.room)
+		c.count(r, -1)
 	}
 }
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -10,7 +10,7 @@
 
 func (m *Manager) addContact(e *jobs.Executor, now time.Time) *contact {
 	c := &contact{ex: e, runs: map[runKey]*run{}, draining: e.Draining, knownSince: now, heardAt: now, proposedEnd: e.Seen}
-	m.contacts[e.Number] = c
+	m.contacts.add(c)
 	m.pool(e.Pool).add(c)
 	return c
 }
@@ -29,7 +29,7 @@
 		m.hearNew(r)
 		return
 	}
-	c := m.contacts[known.Number]
+	c := m.contacts.get(known.Number)
 	if c == nil || c.over {
 		return
 	}
@@ -77,17 +77,17 @@
 		return
 	}
 	if n := j.Executor.Number; n > 0 {
-		m.changed(m.contacts[n], m.st.Executor(n))
+		m.changed(m.contacts.get(n), m.st.Executor(n))
 		return
 	}
 	e := m.st.ExecutorOf(j.Executor.ID)
 	delete(m.joining, e.ID)
-	if m.contacts[e.Number] != nil {
+	if m.contacts.get(e.Number) != nil {
 		return
 	}
 	m.note(Note{Kind: NoteJoined, Executor: e.ID, Pool: e.Pool, Host: e.Host, Reason: e.Address})
 	c := m.addContact(e, now)
-	for _, old := range m.sortedContacts() {
+	for _, old := range m.contacts.sorted {
 		if old != c && !old.over && old.ex.ID == e.ID {
 			m.endLife(old, reborn, now)
 		}
@@ -105,7 +105,8 @@
 		m.pool(c.ex.Pool).drop(c)
 		m.pool(e.Pool).add(c)
 	}
-	c.ex, c.draining = e, e.Draining
+	m.contacts.describe(c, e)
+	c.draining = e.Draining
 }
 
 // reborn is the reason for the end of a life after which another one answers
@@ -144,7 +145,7 @@
 func (m *Manager) stepStrays(now time.Time) {
 	var left []*run
 	for _, r := range m.strays {
-		next := m.contacts[m.numberOf(r.at.ex.ID)]
+		next := m.contacts.get(m.numberOf(r.at.ex.ID))
 		switch {
 		case r.state != runDoubtful:
 		case next != nil && next != r.at && next.confirmed || now.Sub(r.since) > lateOrder:
@@ -186,7 +187,7 @@
 	}
 }
 
-func (m *Manager) left(number int) { delete(m.contacts, number) }
+func (m *Manager) left(number int) { m.contacts.remove(number) }
 
 // sortedRuns returns the runs that are wanted in a fixed order, so that equal
 // inputs give equal outputs; nil wants all.
@@ -201,19 +202,9 @@
 	return list
 }
 
-// sortedContacts returns the contacts in the order of their numbers.
-func (m *Manager) sortedContacts() []*contact {
-	list := make([]*contact, 0, len(m.contacts))
-	for _, c := range m.contacts {
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b *contact) int { return a.ex.Number - b.ex.Number })
-	return list
-}
-
 // stepContacts renews leases and draws conclusions from silence.
 func (m *Manager) stepContacts(now time.Time) {
-	for _, c := range m.sortedContacts() {
+	for _, c := range m.contacts.sorted {
 		if c.over {
 			continue
 		}
--- a/internal/core/manager/health.go
+++ b/internal/core/manager/health.go
@@ -86,7 +86,7 @@
 		}
 		stalled++
 		if !r.stop {
-			r.stop = true
+			r.end()
 			r.job.task(r.key.task).avoid(c.ex.Number)
 			m.note(Note{Kind: NoteStalled, Task: r.key.task, Run: r.key.run, Executor: c.ex.ID, Pool: c.ex.Pool, Age: now.Sub(r.progressAt)})
 		}
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -145,15 +145,7 @@
 }
 
 // contactOf returns the newest life on a host, or nil.
-func (m *Manager) contactOf(name string) *contact {
-	var newest *contact
-	for _, c := range m.contacts {
-		if c.ex.Host == name && !c.over && (newest == nil || c.ex.Number > newest.ex.Number) {
-			newest = c
-		}
-	}
-	return newest
-}
+func (m *Manager) contactOf(name string) *contact { return m.contacts.newestAt(name) }
 
 // mayInterrupt tells whether a planned action may end a lasting task: fewer
 // others of its step than it allows are away.
@@ -187,7 +179,7 @@
 	}
 	for _, r := range c.sortedRuns(nil) {
 		if r.step.Lasting && !r.stop && m.mayInterrupt(r) || !r.step.Lasting && force {
-			r.stop = true
+			r.end()
 		}
 	}
 	m.stopIfDue(c, now)
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -111,7 +111,7 @@
 	term  uint64
 	since time.Time
 
-	contacts map[int]*contact
+	contacts roster
 	pools    map[string]*pool
 	jobs     map[string]*job
 	runs     map[runKey]*run
@@ -163,7 +163,7 @@
 func New(cfg Config, st *jobs.State, term uint64, now time.Time) *Manager {
 	m := &Manager{
 		cfg: cfg, st: st, term: term, since: now,
-		contacts: map[int]*contact{}, pools: map[string]*pool{}, jobs: map[string]*job{}, runs: map[runKey]*run{},
+		contacts: newRoster(), pools: map[string]*pool{}, jobs: map[string]*job{}, runs: map[runKey]*run{},
 		calls: map[uint64]pendingCall{}, submits: map[string][]uint64{}, cancels: map[string][]uint64{},
 		configures: map[uint64][]uint64{}, waveStarts: map[int64][]uint64{}, joining: map[string]int64{},
 		hosts: newHostBook(), waves: map[int64]*wave{},
@@ -202,15 +202,17 @@
 }
 
 func (m *Manager) inherit(j *job, ref jobs.TaskRef, live jobs.Run, now time.Time) {
-	c := m.contacts[live.Executor]
+	c := m.contacts.get(live.Executor)
 	if c == nil {
 		// Leave is recorded after the ends of all runs, so this run has none.
 		c = &contact{ex: &jobs.Executor{Number: live.Executor}, runs: map[runKey]*run{}, over: true}
-		m.contacts[live.Executor] = c
+		m.contacts.add(c)
 	}
 	r := m.newRun(j, ref, live.Number, c, now)
 	r.state = runInherited
-	r.stop = j.rec.Phase.IsFinal()
+	if j.rec.Phase.IsFinal() {
+		r.end()
+	}
 }
 
 // Step decides what is due and returns everything since the last Step.
--- a/internal/core/manager/manager_test.go
+++ b/internal/core/manager/manager_test.go
@@ -314,7 +314,7 @@
 
 // trouble harms something.
 func (w *world) trouble() {
-	list := w.hosts[fmt.Sprintf("host-%02d", w.rng.IntN(12))]
+	list := w.hosts[fmt.Sprintf("host-%03d", w.rng.IntN(12))]
 	e := list.executor
 	switch w.rng.IntN(7) {
 	case 0:
@@ -349,7 +349,7 @@
 // heal ends all troubles.
 func (w *world) heal() {
 	for n := range len(w.hosts) {
-		h := w.hosts[fmt.Sprintf("host-%02d", n)]
+		h := w.hosts[fmt.Sprintf("host-%03d", n)]
 		if e := h.executor; e != nil {
 			e.cut, e.grey = false, ""
 			if !e.up {
--- a/internal/core/manager/place.go
+++ b/internal/core/manager/place.go
@@ -231,31 +231,46 @@
 			x.usable = append(x.usable, c)
 		}
 	}
-	slices.SortStableFunc(p.jobs, func(a, b *job) int { return compareJobs(a, b, now) })
+	for _, w := range p.waiting(now) {
+		x.job(w.job)
+		p.waits = p.waits || w.job.open > 0
+	}
+}
+
+// waitingJob is a job with tasks that wait for a run.
+type waitingJob struct {
+	job     *job
+	outlook outlook
+}
+
+// waiting returns the jobs with tasks that wait, those first whose turn it is.
+func (p *pool) waiting(now time.Time) []waitingJob {
+	var list []waitingJob
 	for _, j := range p.jobs {
 		if j.open > 0 && !j.rec.Phase.IsFinal() {
-			x.job(j)
-			p.waits = p.waits || j.open > 0
+			list = append(list, waitingJob{j, j.outlook(now)})
 		}
 	}
+	slices.SortFunc(list, compareJobs)
+	return list
 }
 
 // compareJobs orders the jobs of a pool: lasting ones first, then by priority,
 // then by what they can still be, then by age.
-func compareJobs(a, b *job, now time.Time) int {
-	if a.lasting != b.lasting {
-		if a.lasting {
+func compareJobs(a, b waitingJob) int {
+	if a.job.lasting != b.job.lasting {
+		if a.job.lasting {
 			return -1
 		}
 		return 1
 	}
-	if pa, pb := a.priority(), b.priority(); pa != pb {
+	if pa, pb := a.job.priority(), b.job.priority(); pa != pb {
 		return pa - pb
 	}
-	if oa, ob := a.outlook(now), b.outlook(now); oa != ob {
-		return int(oa) - int(ob)
+	if a.outlook != b.outlook {
+		return int(a.outlook) - int(b.outlook)
 	}
-	return cmp.Compare(a.rec.Seq, b.rec.Seq)
+	return cmp.Compare(a.job.rec.Seq, b.job.rec.Seq)
 }
 
 // isLasting tells whether a step of a job lasts until the job is cancelled.
@@ -319,7 +334,6 @@
 			}
 		}
 	}
-	j.recount()
 }
 
 func (x *pass) step(j *job, occurrence, place int) {
@@ -331,26 +345,27 @@
 		x.gang(j, occurrence, place)
 		return
 	}
+	// The tasks of a step ask for the same, so that where one finds no executor
+	// only those can that have avoided other ones.
+	full := false
 	for i := range j.tasks[occurrence][place] {
 		record := &j.rec.Steps[occurrence][place].Tasks[i]
 		view := &j.tasks[occurrence][place][i]
-		if record.Done || view.live > 0 {
+		if record.Done || view.live > 0 || full && len(view.avoided) == 0 {
 			continue
 		}
 		ref := jobs.TaskRef{Job: j.rec.ID, Occurrence: occurrence, Step: place, Index: i}
-		c := x.find(j, ref, step, view)
-		if c == nil {
-			if isPlain(step) && len(view.avoided) == 0 && !j.isAdvised() {
-				return
-			}
-			continue
+		if c := x.find(j, ref, step, view); c != nil {
+			x.begin(j, ref, record.Last+1, c)
+		} else if len(view.avoided) == 0 {
+			full = true
 		}
-		x.begin(j, ref, record.Last+1, c)
 	}
 }
 
 func (x *pass) begin(j *job, ref jobs.TaskRef, number int, c *contact) {
 	x.m.newRun(j, ref, number, c, x.now)
+	j.open--
 	x.m.propose(jobs.Command{Begin: &jobs.Begin{Task: ref, Run: number, Executor: c.ex.Number}})
 }
 
@@ -483,18 +498,8 @@
 	if step.DataRack != "" && (a.ex.Rack == step.DataRack) != (b.ex.Rack == step.DataRack) {
 		return a.ex.Rack == step.DataRack
 	}
-	if la, lb := a.countLasting(), b.countLasting(); step.Lasting && la != lb {
-		return la > lb
+	if step.Lasting && a.lasting != b.lasting {
+		return a.lasting > b.lasting
 	}
 	return a.free().CPU < b.free().CPU
 }
-
-func (c *contact) countLasting() int {
-	count := 0
-	for _, r := range c.runs {
-		if r.step.Lasting {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -149,11 +149,22 @@
 
 // stopIfDue orders the end of runs that are to stop.
 func (m *Manager) stopIfDue(c *contact, now time.Time) {
+	if c.stopping == 0 {
+		return
+	}
 	for _, r := range c.sortedRuns((*run).isToStop) {
 		m.orderStop(r, c, now)
 	}
 }
 
+// end marks a run that is to end.
+func (r *run) end() {
+	if !r.stop {
+		r.stop = true
+		r.at.stopping++
+	}
+}
+
 // isToStop tells whether the run is to end and its executor may have it.
 func (r *run) isToStop() bool { return r.stop && r.state != runProposed && r.state != runEnded }
 
@@ -204,8 +215,8 @@
 
 // runEnded takes the record of an end.
 func (m *Manager) runEnded(e *jobs.End, err *fault.Error, now time.Time) {
-	if c := m.contacts[e.Executor]; c != nil && e.Number > 0 {
-		c.ex = m.executorOr(c.ex)
+	if c := m.contacts.get(e.Executor); c != nil && e.Number > 0 {
+		m.contacts.describe(c, m.executorOr(c.ex))
 		if err == nil {
 			c.health.ended(e, now)
 		}
@@ -252,7 +263,7 @@
 func (m *Manager) stopSpares(j *job) {
 	for _, r := range j.runs {
 		if task, _ := j.rec.Task(r.key.task); task != nil && task.Done {
-			r.stop = true
+			r.end()
 		}
 	}
 }
@@ -266,7 +277,7 @@
 		j.pool.removeJob(j)
 	}
 	for _, r := range j.runs {
-		r.stop = true
+		r.end()
 	}
 	if len(j.runs) == 0 {
 		delete(m.jobs, j.rec.ID)
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,13 +12,19 @@
 type wave struct {
 	rec   *jobs.Wave
 	since time.Time
-	// left are the hosts whose upkeep has not begun.
-	left []string
+	// steppedAt is when the leader last looked at the wave.
+	steppedAt time.Time
+	// left are the hosts whose upkeep has not begun, and isLeft the same as a set.
+	left   []string
+	isLeft map[string]bool
 	// sent are the hosts that were ordered and not recorded yet.
 	sent map[string]bool
 }
 
 const (
+	// waveEvery is the time between two looks at a wave. It is short against the
+	// upkeep of a host, and a look costs more the more hosts a wave has.
+	waveEvery = 50 * time.Millisecond
 	// waveReserve is the share of a wave's time that is kept free at its end,
 	// for hosts that cannot have their upkeep when it is their turn.
 	waveReserve = 0.15
@@ -43,10 +50,18 @@
 }
 
 func (m *Manager) refreshWave(w *wave) {
-	w.left = w.left[:0]
+	over := make(map[string]bool, len(w.rec.Begun)+len(w.rec.Removed))
+	for _, name := range w.rec.Begun {
+		over[name] = true
+	}
+	for _, name := range w.rec.Removed {
+		over[name] = true
+	}
+	w.left, w.isLeft = w.left[:0], map[string]bool{}
 	for _, name := range w.rec.Hosts {
-		if !slices.Contains(w.rec.Begun, name) && !slices.Contains(w.rec.Removed, name) {
+		if !over[name] {
 			w.left = append(w.left, name)
+			w.isLeft[name] = true
 		}
 	}
 }
@@ -72,7 +87,8 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		if w := m.waves[id]; len(w.left) > 0 {
+		if w := m.waves[id]; len(w.left) > 0 && now.Sub(w.steppedAt) >= waveEvery {
+			w.steppedAt = now
 			m.stepWave(w, now)
 		}
 	}
@@ -136,7 +152,7 @@
 		if c == nil {
 			continue
 		}
-		if c.reserved == planNone && c.countLasting() > 0 {
+		if c.reserved == planNone && c.lasting > 0 {
 			c.reserved = planUpkeep
 		}
 		if c.reserved == planUpkeep {
@@ -171,7 +187,7 @@
 // isInWave tells whether a host's upkeep is still to come.
 func (m *Manager) isInWave(name string) bool {
 	for _, w := range m.waves {
-		if slices.Contains(w.left, name) {
+		if w.isLeft[name] {
 			return true
 		}
 	}
@@ -181,13 +197,14 @@
 // candidates returns the hosts whose upkeep has not begun, the emptiest first.
 func (m *Manager) candidates(w *wave) []string {
 	list := slices.Clone(w.left)
-	work := func(name string) int64 {
+	work := make(map[string]int64, len(list))
+	for _, name := range list {
+		work[name] = -1
 		if c := m.contactOf(name); c != nil {
-			return c.used.CPU
+			work[name] = c.used.CPU
 		}
-		return -1
 	}
-	slices.SortStableFunc(list, func(a, b string) int { return int(work(a) - work(b)) })
+	slices.SortStableFunc(list, func(a, b string) int { return cmp.Compare(work[a], work[b]) })
 	return list
 }
 
--- a/internal/core/manager/world_test.go
+++ b/internal/core/manager/world_test.go
@@ -18,7 +18,7 @@
 // clocks of their own, hosts, a log with a delay, a network that loses, delays
 // and repeats. Checks look at what the executors do, not at the manager.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	rng   *rand.Rand
 	now   time.Time
 	queue events
@@ -148,7 +148,7 @@
 	stopTime    = 200 * time.Millisecond
 )
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Date(2026, 3, 1, 18, 0, 0, 0, time.UTC), st: jobs.New(), term: 1,
 		executors: map[string]*executor{}, hosts: map[string]*host{}, replies: map[uint64]func(manager.Reply){},
@@ -350,7 +350,7 @@
 // addHost makes a host and, unless it stands by, its executor.
 func (w *world) addHost(pool string) *host {
 	n := len(w.hosts)
-	h := &host{name: fmt.Sprintf("host-%02d", n), pool: pool, zone: "z", rack: fmt.Sprintf("r%d", n/4), state: manager.HostUp}
+	h := &host{name: fmt.Sprintf("host-%03d", n), pool: pool, zone: "z", rack: fmt.Sprintf("r%d", n/4), state: manager.HostUp}
 	w.hosts[h.name] = h
 	if pool != "off" {
 		w.boot(h)
@@ -707,7 +707,7 @@
 	if c.Kind == manager.CallListHosts {
 		o := manager.Outcome{Verdict: manager.OK}
 		for n := range len(w.hosts) {
-			h := w.hosts[fmt.Sprintf("host-%02d", n)]
+			h := w.hosts[fmt.Sprintf("host-%03d", n)]
 			row := manager.HostRow{Host: h.name, Pool: h.pool, State: h.state, Zone: h.zone, Rack: h.rack, Room: jobs.Resources{CPU: 32000, MemoryMB: 64 << 10}}
 			o.Hosts = append(o.Hosts, row)
 		}
