Hold the office once per term, and tell a slow disk from a busy processor

While the handover was under way its resident resigned and began again four times in the same term. Orders of both carry the token of the term and the same call IDs, so that executors could not refuse those of before and answers to old orders were taken for answers to new ones (169 executors counted as silent for 30 ms).

Changes: no second office begins in a term; a leader whose resident has resigned steps down unless it hands over already. A slow sync counts only as far as goroutines of the process wake up in time otherwise.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -69,6 +69,7 @@
 	office     office
 	// slowSyncs counts the slow syncs in a row.
 	slowSyncs int
+	lag       lagMeter
 }
 
 // Run is the control loop. It returns when ctx ends, after leadership was
@@ -90,6 +91,7 @@
 		}
 	}()
 	l.peers.group.Go(func() { r.recorder.run(peerCtx) })
+	l.peers.group.Go(func() { l.lag.run(peerCtx) })
 	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
 	l.process()
@@ -290,10 +292,12 @@
 	slowSyncs = 2
 )
 
-// watchDisk hands leadership over if the disk has become slow.
+// watchDisk hands leadership over if the disk has become slow. What a lack of
+// processor time adds to a sync does not count: the next leader would lack it as
+// well.
 func (l *loop) watchDisk(took time.Duration) {
 	timeout := time.Duration(l.r.cfg.ElectionTicks) * l.r.cfg.Tick
-	if took < time.Duration(slowSyncShare*float64(timeout)) {
+	if took-l.lag.recent() < time.Duration(slowSyncShare*float64(timeout)) {
 		l.slowSyncs = 0
 		return
 	}
--- a/internal/control/resident.go
+++ b/internal/control/resident.go
@@ -74,7 +74,9 @@
 // lease holds.
 type office struct {
 	active bool
-	term   uint64
+	// term is that of the newest office. No second one begins in a term: its
+	// orders could not be told from those of the first.
+	term uint64
 	// token is the read that asks for a confirmation, sentAt when it was sent
 	// and confirmedAt when the newest confirmed one was sent, both on the clock
 	// that counts suspended time.
@@ -157,6 +159,8 @@
 		o.active = false
 		l.r.cfg.Resident.Resign()
 		l.r.cfg.Log.Log(logevent.OfficeEnded, logevent.Fields{"term": o.term})
+	case !o.active && leads && o.term == l.node.Term():
+		l.node.StepDown()
 	case !o.active && leads && l.node.HasCommittedInTerm():
 		*o = office{active: true, term: l.node.Term(), ticks: o.ticks, token: o.token, sentAt: o.sentAt, confirmedAt: o.confirmedAt}
 		l.r.cfg.Resident.Lead(o.term, l.state.Jobs(), time.Now())
@@ -166,7 +170,7 @@
 
 // proposeJobs appends a batch of commands. A refusal means that leadership is
 // being lost or that the log is full; the resident resigns, because it counts on
-// every command.
+// every command, and this replica steps down unless it hands over already.
 func (l *loop) proposeJobs(commands []jobs.Command) {
 	data, err := codec.EncodeCommand(state.JobsStep{Origin: state.Origin{Actor: "system", Source: "leader", Time: l.r.Now()}, Commands: commands})
 	if err == nil {
--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -143,6 +143,13 @@
 	return true
 }
 
+// StepDown ends the leadership of this replica, unless it is being handed over.
+func (n *Node) StepDown() {
+	if n.role == Leader && n.transferee == 0 {
+		n.becomeFollower(n.term, 0)
+	}
+}
+
 // finishTransfer starts the successor's election once it has the whole log.
 func (n *Node) finishTransfer() {
 	if p := n.peers[n.transferee]; p != nil && p.match == n.log.last() {
