Let the other replicas make the calls to many executors

With more than 100 executors in use, the leader now hands the orders to executors over one stream to each of the other replicas, which make the calls and pass the outcomes back in batches. Each executor belongs to one replica, so that connections are kept. Orders to hosts and the advisor stay with the leader.

A replica that fails or is overdue with an outcome gets no orders for 2 s; what it had counts as perhaps carried out. An order that a frozen replica carries out late is what a late order of the network is: its token fences it.

--- a/gen/laburnumdock/v1/laburnumdockv1connect/jobs.connect.go
+++ b/gen/laburnumdock/v1/laburnumdockv1connect/jobs.connect.go
@@ -25,6 +25,8 @@
 	JobServiceName = "laburnumdock.v1.JobService"
 	// CellServiceName is the fully-qualified name of the CellService service.
 	CellServiceName = "laburnumdock.v1.CellService"
+	// OrderServiceName is the fully-qualified name of the OrderService service.
+	OrderServiceName = "laburnumdock.v1.OrderService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -43,6 +45,8 @@
 	CellServiceMembersProcedure = "/laburnumdock.v1.CellService/Members"
 	// CellServiceJoinProcedure is the fully-qualified name of the CellService's Join RPC.
 	CellServiceJoinProcedure = "/laburnumdock.v1.CellService/Join"
+	// OrderServiceCarryOutProcedure is the fully-qualified name of the OrderService's CarryOut RPC.
+	OrderServiceCarryOutProcedure = "/laburnumdock.v1.OrderService/CarryOut"
 )
 
 // JobServiceClient is a client for the laburnumdock.v1.JobService service.
@@ -244,3 +248,79 @@
 func (UnimplementedCellServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnumdock.v1.CellService.Join is not implemented"))
 }
+
+// OrderServiceClient is a client for the laburnumdock.v1.OrderService service.
+type OrderServiceClient interface {
+	// CarryOut takes orders as they come and answers each with one outcome, in
+	// any order. Orders whose outcome is missing when the stream ends may have
+	// been carried out.
+	CarryOut(context.Context) *connect.BidiStreamForClient[v1.CarryOutRequest, v1.CarryOutResponse]
+}
+
+// NewOrderServiceClient constructs a client for the laburnumdock.v1.OrderService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOrderServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OrderServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	orderServiceMethods := v1.File_laburnumdock_v1_jobs_proto.Services().ByName("OrderService").Methods()
+	return &orderServiceClient{
+		carryOut: connect.NewClient[v1.CarryOutRequest, v1.CarryOutResponse](
+			httpClient,
+			baseURL+OrderServiceCarryOutProcedure,
+			connect.WithSchema(orderServiceMethods.ByName("CarryOut")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// orderServiceClient implements OrderServiceClient.
+type orderServiceClient struct {
+	carryOut *connect.Client[v1.CarryOutRequest, v1.CarryOutResponse]
+}
+
+// CarryOut calls laburnumdock.v1.OrderService.CarryOut.
+func (c *orderServiceClient) CarryOut(ctx context.Context) *connect.BidiStreamForClient[v1.CarryOutRequest, v1.CarryOutResponse] {
+	return c.carryOut.CallBidiStream(ctx)
+}
+
+// OrderServiceHandler is an implementation of the laburnumdock.v1.OrderService service.
+type OrderServiceHandler interface {
+	// CarryOut takes orders as they come and answers each with one outcome, in
+	// any order. Orders whose outcome is missing when the stream ends may have
+	// been carried out.
+	CarryOut(context.Context, *connect.BidiStream[v1.CarryOutRequest, v1.CarryOutResponse]) error
+}
+
+// NewOrderServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOrderServiceHandler(svc OrderServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	orderServiceMethods := v1.File_laburnumdock_v1_jobs_proto.Services().ByName("OrderService").Methods()
+	orderServiceCarryOutHandler := connect.NewBidiStreamHandler(
+		OrderServiceCarryOutProcedure,
+		svc.CarryOut,
+		connect.WithSchema(orderServiceMethods.ByName("CarryOut")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/laburnumdock.v1.OrderService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OrderServiceCarryOutProcedure:
+			orderServiceCarryOutHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOrderServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOrderServiceHandler struct{}
+
+func (UnimplementedOrderServiceHandler) CarryOut(context.Context, *connect.BidiStream[v1.CarryOutRequest, v1.CarryOutResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("laburnumdock.v1.OrderService.CarryOut is not implemented"))
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -25,6 +25,7 @@
 	"laburnumdock/internal/jobclient"
 	"laburnumdock/internal/lead"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/orders"
 )
 
 // Config is what a replica of a cell needs.
@@ -39,7 +40,7 @@
 	Election    time.Duration
 	QueueLength int
 	Manager     manager.Config
-	Caller      lead.Caller
+	Caller      orders.Caller
 	Metrics     metrics.Registry
 	Log         *logevent.Logger
 }
@@ -55,6 +56,10 @@
 	// removedChecks is the number of checks in a row after which a replica that
 	// is no member begins anew.
 	removedChecks = 2
+	// spreadAbove is the number of executors above which the other replicas make
+	// the calls to executors. A core host of the smallest size is busy to about
+	// 0.4 with the calls and the decisions for 50.
+	spreadAbove = 100
 	// leaderWait bounds how long a request from outside waits for a leader.
 	leaderWait = time.Second
 )
@@ -71,6 +76,8 @@
 	client  *jobclient.Client
 	entries *entryBook
 	id      uint64
+	// stopping is closed when Run ends.
+	stopping chan struct{}
 }
 
 // New opens the replica, whose folder it prepares if needed.
@@ -79,10 +86,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cell{cfg: cfg, id: id, entries: &entryBook{last: map[string]time.Time{}}}
+	c := &Cell{cfg: cfg, id: id, entries: &entryBook{last: map[string]time.Time{}}, stopping: make(chan struct{})}
 	c.leader = lead.New(lead.Config{
-		Manager: cfg.Manager, Caller: cfg.Caller, Metrics: cfg.Metrics, Log: cfg.Log,
-		Post: func(event any) bool { return c.replica.Post(event) },
+		Manager: cfg.Manager, Metrics: cfg.Metrics, Log: cfg.Log,
+		Carrier: orders.NewSpread(orders.SpreadConfig{Local: orders.NewLocal(cfg.Caller), Helpers: c.helpers, Above: spreadAbove, Log: cfg.Log}),
+		Post:    func(event any) bool { return c.replica.Post(event) },
 	})
 	replica := replicaConfig(cfg, id, voters)
 	replica.Resident = c.leader
@@ -157,6 +165,7 @@
 	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: c.replica}))
 	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(service{cell: c}))
 	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(service{cell: c}))
+	mux.Handle(laburnumdockv1connect.NewOrderServiceHandler(&orders.Service{Caller: c.cfg.Caller, Stopping: c.stopping}))
 	return mux
 }
 
@@ -165,6 +174,7 @@
 func (c *Cell) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	defer close(c.stopping)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		defer stop()
@@ -181,6 +191,19 @@
 	return err
 }
 
+// helpers returns the other voters, which make calls for a leader.
+func (c *Cell) helpers() []string {
+	status := c.replica.Status()
+	var urls []string
+	for _, id := range status.Members.Voters {
+		if url := status.Addresses[id]; id != c.id && url != "" {
+			urls = append(urls, url)
+		}
+	}
+	slices.Sort(urls)
+	return urls
+}
+
 // belong asks to be taken in until this replica votes, and finds out if it was
 // removed.
 func (c *Cell) belong(ctx context.Context) error {
--- a/internal/core/manager/call.go
+++ b/internal/core/manager/call.go
@@ -175,6 +175,7 @@
 // Outcome is the answer to a call.
 type Outcome struct {
 	ID      uint64
+	Kind    CallKind
 	Verdict Verdict
 	Refusal Refusal
 	// SentAt and AnsweredAt are the times of the caller.
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -215,6 +215,9 @@
 	}
 }
 
+// Executors returns the number of executor lives that the leader calls.
+func (m *Manager) Executors() int { return len(m.contacts.sorted) }
+
 // Step decides what is due and returns everything since the last Step.
 func (m *Manager) Step(now time.Time) Output {
 	m.stepContacts(now)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -1,12 +1,10 @@
 // Package lead runs the decisions of package manager in the control loop of a
-// replica and carries out the orders that follow. The loop's goroutine owns the
-// manager; each order has a goroutine of its own, whose outcome comes back as an
-// event.
+// replica. The loop's goroutine owns the manager; orders are carried out beside
+// it, and their outcomes come back as events.
 package lead
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -17,16 +15,19 @@
 	"laburnumdock/internal/logevent"
 )
 
-// Caller carries out one order and says what is known of its effect. It is
-// called by many goroutines.
-type Caller interface {
-	Do(ctx context.Context, c manager.Call) manager.Outcome
+// Carrier carries out orders beside the control loop.
+type Carrier interface {
+	// CarryOut passes the outcomes to done, from any goroutine, until ctx ends.
+	// It must not block. Executors is the number of executors in use.
+	CarryOut(ctx context.Context, executors int, calls []manager.Call, done func([]manager.Outcome))
+	// Wait waits for the orders on their way, whose ctx must have ended.
+	Wait()
 }
 
 // Config is what a leader needs.
 type Config struct {
 	Manager manager.Config
-	Caller  Caller
+	Carrier Carrier
 	// Post queues an event for the control loop.
 	Post    func(event any) bool
 	Metrics metrics.Registry
@@ -43,7 +44,6 @@
 	out    manager.Output
 	ctx    context.Context
 	cancel context.CancelFunc
-	group  sync.WaitGroup
 
 	// waiting are the requests without a reply, by the ID that the manager
 	// knows.
@@ -69,11 +69,10 @@
 // heard is the event of reports.
 type heard struct{ reports []manager.Report }
 
-// answered is the event of an outcome.
+// answered is the event of some outcomes.
 type answered struct {
-	term    uint64
-	kind    manager.CallKind
-	outcome manager.Outcome
+	term     uint64
+	outcomes []manager.Outcome
 }
 
 // Ask passes a request to the leader. It returns not_leader if this replica does
@@ -145,9 +144,11 @@
 			l.mgr.Hear(r, now)
 		}
 	case answered:
-		l.meters.call(e.kind, e.outcome)
-		if l.mgr != nil && e.term == l.term {
-			l.mgr.Answered(e.outcome, now)
+		for _, o := range e.outcomes {
+			l.meters.call(o)
+			if l.mgr != nil && e.term == l.term {
+				l.mgr.Answered(o, now)
+			}
 		}
 	}
 }
@@ -171,13 +172,14 @@
 	for _, r := range l.out.Replies {
 		l.answer(r)
 	}
-	for _, c := range l.out.Calls {
-		l.carryOut(c)
+	if len(l.out.Calls) > 0 {
+		l.carryOut(l.out.Calls)
+		l.out.Calls = nil
 	}
 	for _, n := range l.out.Notes {
 		l.log(n)
 	}
-	l.out.Replies, l.out.Calls, l.out.Notes = l.out.Replies[:0], l.out.Calls[:0], l.out.Notes[:0]
+	l.out.Replies, l.out.Notes = l.out.Replies[:0], l.out.Notes[:0]
 }
 
 func (l *Leader) answer(r manager.Reply) {
@@ -187,18 +189,15 @@
 	}
 }
 
-// carryOut sends one order beside the loop.
-func (l *Leader) carryOut(c manager.Call) {
-	ctx, term := l.ctx, l.term
-	l.group.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-		defer cancel()
-		sent := time.Now()
-		o := l.cfg.Caller.Do(ctx, c)
-		o.ID, o.SentAt, o.AnsweredAt = c.ID, sent, time.Now()
-		l.cfg.Post(answered{term: term, kind: c.Kind, outcome: o})
+// carryOut sends orders beside the loop.
+func (l *Leader) carryOut(calls []manager.Call) {
+	term := l.term
+	l.cfg.Carrier.CarryOut(l.ctx, l.mgr.Executors(), calls, func(list []manager.Outcome) {
+		if len(list) > 0 {
+			l.cfg.Post(answered{term: term, outcomes: list})
+		}
 	})
 }
 
 // Wait waits for the orders on their way; the replica must have stopped.
-func (l *Leader) Wait() { l.group.Wait() }
+func (l *Leader) Wait() { l.cfg.Carrier.Wait() }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -23,13 +23,17 @@
 // answering is a platform on which every order succeeds.
 type answering struct{}
 
-func (answering) Do(context.Context, manager.Call) manager.Outcome {
-	return manager.Outcome{Verdict: manager.OK}
+func (answering) CarryOut(_ context.Context, _ int, calls []manager.Call, done func([]manager.Outcome)) {
+	for _, c := range calls {
+		done([]manager.Outcome{{ID: c.ID, Kind: c.Kind, Verdict: manager.OK}})
+	}
 }
 
+func (answering) Wait() {}
+
 func newLoop() *loop {
 	l := &loop{records: jobs.New(), events: make(chan any, 100)}
-	l.leader = New(Config{Caller: answering{}, Log: logevent.Discard(), Post: func(event any) bool {
+	l.leader = New(Config{Carrier: answering{}, Log: logevent.Discard(), Post: func(event any) bool {
 		l.events <- event
 		return true
 	}})
--- a/internal/lead/meters.go
+++ b/internal/lead/meters.go
@@ -23,8 +23,8 @@
 	return &meters{registry: r}
 }
 
-func (m *meters) call(kind manager.CallKind, o manager.Outcome) {
-	name := "orders_" + kind.String()
+func (m *meters) call(o manager.Outcome) {
+	name := "orders_" + o.Kind.String()
 	metrics.GetOrRegisterCounter(name+"_"+o.Verdict.String()+"_total", m.registry).Inc(1)
 	latency := m.registry.GetOrRegister(name+"_latency_microseconds", func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -61,6 +61,7 @@
 	OrderFailed        = Event{1224, "order_failed", logrus.DebugLevel, "order to an executor or the platform had no effect", "the manager draws the conclusion; see the events of the executor"}
 	ReportRefused      = Event{1225, "report_refused", logrus.WarnLevel, "report of an executor cannot be read", "it names no executor to use; check who wrote it"}
 	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to mend"}
+	HelperLost         = Event{1227, "helper_lost", logrus.WarnLevel, "replica that makes calls for the leader is lost", "none; others make the calls, and what it had is looked up"}
 	LeaderFenced       = Event{1230, "leader_fenced", logrus.WarnLevel, "an executor has seen a newer leader", "none; this replica finds out that it was replaced"}
 )
 
@@ -85,7 +86,7 @@
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
-		OrderFailed, ReportRefused, ConfigRefused, LeaderFenced,
+		OrderFailed, ReportRefused, ConfigRefused, HelperLost, LeaderFenced,
 		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected, RequestMalformed, RequestUnanswered,
 	}
 }
--- a/internal/role/cell.go
+++ b/internal/role/cell.go
@@ -13,15 +13,15 @@
 
 	"laburnumdock/internal/cell"
 	"laburnumdock/internal/core/manager"
-	"laburnumdock/internal/lead"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/orders"
 	"laburnumdock/internal/process"
 	"laburnumdock/internal/settings"
 )
 
 // CellPlatform is how a replica of a cell speaks to the platform.
 type CellPlatform struct {
-	Caller lead.Caller
+	Caller orders.Caller
 	// Handler returns what executors and operators reach.
 	Handler func(c *CellHost) http.Handler
 }
@@ -127,7 +127,7 @@
 	}
 }
 
-func cellConfig(s *settings.Cell, log *logevent.Logger, registry metrics.Registry, caller lead.Caller) (cell.Config, error) {
+func cellConfig(s *settings.Cell, log *logevent.Logger, registry metrics.Registry, caller orders.Caller) (cell.Config, error) {
 	seeds, err := peerURLs(*s.Seeds, *s.PeerPort)
 	if err != nil {
 		return cell.Config{}, err
