Write the log beside the process, in batches, and never wait for its reader

Lines carry milliseconds. When a lease has certainly ended is worked out again only when its inputs change.

--- a/cmd/dock-cell/main.go
+++ b/cmd/dock-cell/main.go
@@ -21,6 +21,7 @@
 			if err != nil {
 				return err
 			}
+			defer log.Flush()
 			return role.Cell(ctx, s, log, adapter(s, log))
 		}
 	})
--- a/cmd/dock-control/main.go
+++ b/cmd/dock-control/main.go
@@ -23,6 +23,7 @@
 		if err != nil {
 			return err
 		}
+		defer log.Flush()
 		return role.Control(ctx, s, log)
 	}
 }
--- a/cmd/dock-entry/main.go
+++ b/cmd/dock-entry/main.go
@@ -17,6 +17,7 @@
 			if err != nil {
 				return err
 			}
+			defer log.Flush()
 			return role.Entry(ctx, s, log)
 		}
 	})
--- a/cmd/dock-jobs/main.go
+++ b/cmd/dock-jobs/main.go
@@ -20,6 +20,7 @@
 			if err != nil {
 				return err
 			}
+			defer log.Flush()
 			return role.JobEntry(ctx, s, log, func(client *jobclient.Client) http.Handler {
 				return platform.ClientHandler(client, int64(*s.MaxBodyBytes), log)
 			})
--- a/cmd/dock-standin/main.go
+++ b/cmd/dock-standin/main.go
@@ -18,6 +18,7 @@
 			if err != nil {
 				return err
 			}
+			defer log.Flush()
 			fleet, err := role.NewStandin(s)
 			if err != nil {
 				return err
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -20,6 +20,7 @@
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/jobclient"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/orders"
 )
 
 // patience bounds waits on a busy machine; no verdict depends on it.
@@ -34,10 +35,12 @@
 
 // site runs replicas on loopback.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	dir   string
 	seeds []string
 	nodes map[string]*node
+	// caller is the platform of the replicas.
+	caller orders.Caller
 }
 
 // node is one replica and its listener, which outlives restarts.
@@ -74,8 +77,8 @@
 	h.ServeHTTP(w, r)
 }
 
-func newSite(t *testing.T, seeds int) *site {
-	s := &site{t: t, dir: t.TempDir(), nodes: map[string]*node{}}
+func newSite(t testing.TB, seeds int) *site {
+	s := &site{t: t, dir: t.TempDir(), nodes: map[string]*node{}, caller: silent{}}
 	for range seeds {
 		s.seeds = append(s.seeds, s.place())
 	}
@@ -106,7 +109,7 @@
 	c, err := New(Config{
 		Cluster: "test", Dir: n.dir, Self: url, Seeds: s.seeds, Bootstrap: bootstrap, Election: 500 * time.Millisecond, QueueLength: 1024,
 		Manager: manager.Config{HoldMax: 6 * time.Second, ReportEvery: time.Second, Retention: time.Minute},
-		Caller:  silent{}, Metrics: metrics.NewRegistry(), Log: logevent.Discard(),
+		Caller:  s.caller, Metrics: metrics.NewRegistry(), Log: logevent.Discard(),
 	})
 	require.NoError(s.t, err)
 	ctx, stop := context.WithCancelCause(context.Background())
--- a/internal/core/manager/contact.go
+++ b/internal/core/manager/contact.go
@@ -88,6 +88,8 @@
 	clock   int64
 	clockAt time.Time
 	lease   int64
+	// lapses is what lapsesAt returned last, or zero if that may have changed.
+	lapses time.Time
 	// knownSince is when this leader began to keep the contact, and heardAt when
 	// an answer or a report last came.
 	knownSince time.Time
@@ -117,6 +119,7 @@
 		return
 	}
 	c.clock, c.clockAt = clock, at
+	c.lapses = time.Time{}
 }
 
 // clockNow is what the executor's clock shows at least.
@@ -131,10 +134,23 @@
 		return 0
 	}
 	until := c.clockNow(now) + length.Milliseconds()
-	c.lease = max(c.lease, until)
+	if until > c.lease {
+		c.lease, c.lapses = until, time.Time{}
+	}
 	return until
 }
 
+// hasLapsed tells whether every lease that was granted here has certainly ended.
+func (c *contact) hasLapsed(longest time.Duration, now time.Time) bool {
+	if c.lapses.IsZero() {
+		c.lapses = c.lapsesAt(longest)
+	}
+	return !now.Before(c.lapses)
+}
+
+// confirm notes that the executor has seen this leader's token.
+func (c *contact) confirm() { c.confirmed, c.lapses = true, time.Time{} }
+
 // lapsesAt is when every lease that was granted here has certainly ended. A
 // leader that has sent none waits out those that others may have sent before it
 // knew the life.
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -208,7 +208,7 @@
 		if c.over {
 			continue
 		}
-		if !now.Before(c.lapsesAt(m.cfg.HoldMax)) {
+		if c.hasLapsed(m.cfg.HoldMax, now) {
 			m.lapse(c, now)
 		}
 		if m.isLost(c, now) {
@@ -306,7 +306,7 @@
 		return
 	}
 	if !c.confirmed {
-		c.confirmed = true
+		c.confirm()
 		m.wakePools()
 	}
 	m.takeEnds(c, o.Ended, now)
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -9,6 +9,7 @@
 	ProcessStopping  = Event{1002, "process_stopping", logrus.InfoLevel, "graceful shutdown started", "none"}
 	ProcessStopped   = Event{1003, "process_stopped", logrus.InfoLevel, "process stopped", "none"}
 	ProcessFailed    = Event{1004, "process_failed", logrus.ErrorLevel, "process failed", "read the error field"}
+	LinesDropped     = Event{1008, "lines_dropped", logrus.WarnLevel, "log lines were dropped because the reader is too slow", "look at what reads the standard output; number tells how many"}
 	SettingsReloaded = Event{1006, "settings_reloaded", logrus.InfoLevel, "settings file was read again", "the seeds are in force; other keys need a restart"}
 	SettingsRefused  = Event{1007, "settings_refused", logrus.WarnLevel, "new settings are wrong, the old ones stay in force", "mend the file; the problem names the key"}
 	QueueFull        = Event{1005, "queue_full", logrus.WarnLevel, "event queue is full, the sender was refused", "look for a slow disk or too much load"}
@@ -79,7 +80,7 @@
 // Catalogue lists all events in the order of their IDs.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull, SettingsReloaded, SettingsRefused,
+		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull, SettingsReloaded, SettingsRefused, LinesDropped,
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
 		PeerUnreachable, OfficeBegan, OfficeEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
 		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved,
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,10 +23,21 @@
 type Fields = logrus.Fields
 
 // Logger writes events as one JSON object a line.
-type Logger struct{ entry *logrus.Entry }
+type Logger struct {
+	logger *logrus.Logger
+	// role and process go into every line.
+	role    string
+	process string
+	// buffer is nil if lines are written at once.
+	buffer *buffer
+}
+
+// timeFormat has milliseconds, so that lines of several processes can be put in
+// order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// New returns a logger that writes to w. Role and process name go into every
-// line.
+// New returns a logger that writes each line to w at once. Role and process name
+// go into every line.
 func New(w io.Writer, level, role, process string) (*Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
@@ -34,8 +46,30 @@
 	l := logrus.New()
 	l.SetOutput(w)
 	l.SetLevel(parsed)
-	l.SetFormatter(&logrus.JSONFormatter{})
-	return &Logger{entry: l.WithFields(logrus.Fields{"role": role, "process": process})}, nil
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
+	return &Logger{logger: l, role: role, process: process}, nil
+}
+
+// NewBuffered returns a logger that never waits for w. Lines that w does not take
+// in time are dropped and counted.
+func NewBuffered(w io.Writer, level, role, process string) (*Logger, error) {
+	b := newBuffer(w)
+	l, err := New(b, level, role, process)
+	if err != nil {
+		return nil, err
+	}
+	l.buffer = b
+	return l, nil
+}
+
+// flushLimit bounds how long the end of a process waits for its last lines.
+const flushLimit = time.Second
+
+// Flush writes the lines that wait.
+func (l *Logger) Flush() {
+	if l.buffer != nil {
+		l.buffer.Flush(flushLimit)
+	}
 }
 
 // Discard returns a logger that writes nothing.
@@ -46,10 +80,34 @@
 
 // Log writes one event.
 func (l *Logger) Log(e Event, fields Fields) {
-	l.entry.WithFields(fields).WithFields(logrus.Fields{"event": e.ID, "name": e.Name}).Log(e.Level, e.Text)
+	l.write(e, nil, fields)
 }
 
 // Err is Log with an error as a field.
 func (l *Logger) Err(e Event, err error, fields Fields) {
-	l.entry.WithError(err).WithFields(fields).WithFields(logrus.Fields{"event": e.ID, "name": e.Name}).Log(e.Level, e.Text)
+	l.write(e, err, fields)
+}
+
+// fixedFields is the number of fields that lines have beside their own.
+const fixedFields = 5
+
+func (l *Logger) write(e Event, err error, fields Fields) {
+	if !l.logger.IsLevelEnabled(e.Level) {
+		return
+	}
+	if l.buffer != nil && e != LinesDropped {
+		if n := l.buffer.takeDropped(); n > 0 {
+			l.write(LinesDropped, nil, Fields{"number": n})
+		}
+	}
+	data := make(Fields, len(fields)+fixedFields)
+	for name, value := range fields {
+		data[name] = value
+	}
+	data["role"], data["process"], data["event"], data["name"] = l.role, l.process, e.ID, e.Name
+	if err != nil {
+		data[logrus.ErrorKey] = err
+	}
+	entry := &logrus.Entry{Logger: l.logger, Data: data}
+	entry.Log(e.Level, e.Text)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -125,9 +125,10 @@
 	return info.Main.Version
 }
 
-// Logger returns the logger of a process, on standard output.
+// Logger returns the logger of a process, on standard output. It must be flushed
+// at the end.
 func Logger(p settings.Process, role string) (*logevent.Logger, error) {
-	return logevent.New(os.Stdout, *p.LogLevel, role, *p.Name)
+	return logevent.NewBuffered(os.Stdout, *p.LogLevel, role, *p.Name)
 }
 
 // Ops adds the pages for operations to mux. ready returns why the process is
