--- a/internal/logevent/buffer.go
+++ b/internal/logevent/buffer.go
@@ -1,6 +1,7 @@
 package logevent
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -13,6 +14,9 @@
 	// flushEvery is the time for which lines are gathered into one write. An
 	// operator who follows the log does not notice it.
 	flushEvery = 50 * time.Millisecond
+	// writeBytes is what a pipe takes as one piece, without mixing it with what
+	// others write. A write has whole lines, unless one is longer.
+	writeBytes = 4096
 )
 
 // buffer passes lines on to a writer in a goroutine of its own. Write never waits
@@ -82,10 +86,7 @@
 		lines := b.lines
 		b.lines = spare[:0]
 		b.mu.Unlock()
-		if len(lines) > 0 {
-			// There is nowhere to report that the log cannot be written.
-			_, _ = b.w.Write(lines)
-		}
+		b.write(lines)
 		spare = lines
 		if done != nil {
 			close(done)
@@ -93,6 +94,21 @@
 	}
 }
 
+// write writes lines in pieces of whole lines.
+func (b *buffer) write(lines []byte) {
+	for len(lines) > 0 {
+		piece := lines[:min(len(lines), writeBytes)]
+		if end := bytes.LastIndexByte(piece, '\n'); end >= 0 {
+			piece = piece[:end+1]
+		} else if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+			piece = lines[:end+1]
+		}
+		// There is nowhere to report that the log cannot be written.
+		_, _ = b.w.Write(piece)
+		lines = lines[len(piece):]
+	}
+}
+
 // Flush waits until all lines of before are written, or for at most limit.
 func (b *buffer) Flush(limit time.Duration) {
 	timer := time.NewTimer(limit)
--- a/internal/logevent/buffer_test.go
+++ b/internal/logevent/buffer_test.go
@@ -14,11 +14,14 @@
 type reader struct {
 	mu    sync.Mutex
 	lines bytes.Buffer
+	// torn tells that a write did not end with a line.
+	torn bool
 }
 
 func (r *reader) Write(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.torn = r.torn || !bytes.HasSuffix(p, []byte("\n"))
 	return r.lines.Write(p)
 }
 
@@ -65,6 +68,12 @@
 	l.Log(ProcessStopped, Fields{"number": 3})
 	l.Flush()
 	require.Contains(t, out.text(), `"number":3`)
+	for i := range 100 {
+		l.Log(ProcessStopped, Fields{"text": strings.Repeat("x", 97*i)})
+	}
+	l.Flush()
+	require.False(t, out.torn)
+	require.Len(t, strings.Split(out.text(), "\n"), 102)
 }
 
 // BenchmarkLine is the cost of a line that is written.
