Keep the ends of a next life, and conclude runs that were stopped on an ended one

A new leader calls every life in the records with the newest end that it has seen of it. Where an executor was born again under its ID, the call for its earlier life reached the next one, which forgot its own ends up to that number; its runs then counted as never started and ran again (TWICE). An executor is now told of seen ends only after this life has answered the last call.

A run of an ended life that was stopped waited for an answer of that life, which nobody calls any more. Its job kept a live run, and the records kept the life, until the next change of leader. Such runs stay with those that wait for the next life.

--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -278,10 +278,17 @@
 	if len(c.runs) > 0 && c.failures == 0 {
 		until = c.leaseFor(now, m.lease())
 	}
+	// The executor forgets the ends up to the one that is seen. Unless this life
+	// has just answered, another one may take the order, whose ends have the same
+	// numbers.
+	seen := int64(0)
+	if c.confirmed && c.failures == 0 {
+		seen = c.ex.Seen
+	}
 	c.holding, c.holdAt = true, now
 	m.call(Call{
 		Kind: CallHold, Timeout: wait + callTimeout, Address: c.ex.Address, Instance: c.ex.ID, Executor: c.ex.Number,
-		Until: until, Seen: c.ex.Seen, Wait: wait,
+		Until: until, Seen: seen, Wait: wait,
 	}, pendingCall{contact: c}, now)
 }
 
--- a/internal/core/manager/manager_test.go
+++ b/internal/core/manager/manager_test.go
@@ -309,9 +309,25 @@
 			}
 		}
 	}
+	w.checkRest(ids)
 	w.check()
 }
 
+// checkRest looks, after a calm time, for runs and lives that the records keep
+// although they have ended.
+func (w *world) checkRest(ids []string) {
+	for _, id := range ids {
+		if j := w.st.Job(id); j != nil && j.Phase.IsFinal() && j.Live > 0 {
+			w.fail("the records keep %d runs of job %s, which is over", j.Live, id)
+		}
+	}
+	for _, rec := range w.st.Executors() {
+		if e := w.byAddress(rec.Address); e == nil || e.id != rec.ID || e.born != rec.Born {
+			w.fail("the records keep the life %d of %s, which is over", rec.Number, rec.ID)
+		}
+	}
+}
+
 // trouble harms something.
 func (w *world) trouble() {
 	list := w.hosts[fmt.Sprintf("host-%03d", w.rng.IntN(12))]
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -207,7 +207,8 @@
 	if m.runs[r.key] != r || o.Verdict != OK {
 		return
 	}
-	if r.state == runDoubtful {
+	// A run of an ended life waits for the next life; see stepStrays.
+	if r.state == runDoubtful && !c.over {
 		r.enter(runBlocked, now)
 		m.look(c, now)
 	}
--- a/internal/core/manager/world_test.go
+++ b/internal/core/manager/world_test.go
@@ -568,11 +568,15 @@
 
 func (e *executor) hold(c manager.Call, reply func(manager.Outcome)) {
 	keep := e.ended[:0:0]
+	rec := e.w.st.Executor(c.Executor)
 	for _, row := range e.ended {
 		if row.Number > c.Seen {
 			keep = append(keep, row)
 			continue
 		}
+		if rec != nil && rec.Born != e.born {
+			e.w.fail("the end of %s is forgotten for those of another life", row.Task)
+		}
 		if !e.lapsed[row.Number] {
 			e.w.noteEnd(row)
 		}
