--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -1,29 +1,13 @@
 package manager
 
 import (
-	"math"
 	"slices"
 	"time"
-
-	"laburnumdock/internal/core/jobs"
 )
 
 const (
 	// moveEvery is the time between two looks at the sizes of the pools.
 	moveEvery = 100 * time.Millisecond
-	// rateWindow is the time over which arriving work is counted. It is short
-	// against the time that a move takes, so that a rise is met while it lasts.
-	rateWindow = 600 * time.Millisecond
-	// headroom is the share by which a pool is larger than the work that is
-	// known: sizes are whole hosts, and demands do not fill them evenly.
-	headroom = 1.2
-	// maxSpread bounds the hosts that a batch step gets for the sake of tasks
-	// that must not share one.
-	maxSpread = 8
-	// shrinkAfter is the time for which a pool must be too large before it gives
-	// hosts away. With the time that the arrivals are counted over, a host stays
-	// for about as long as a move there and back costs.
-	shrinkAfter = 1200 * time.Millisecond
 	// listEvery is the time between two readings of the platform's list while
 	// nothing asks for one, to find hosts that nobody reports.
 	listEvery = 15 * time.Second
@@ -32,166 +16,6 @@
 	lateReturn = 2 * time.Second
 )
 
-// arrival of work, in hosts times milliseconds.
-type work struct {
-	at     time.Time
-	amount float64
-}
-
-// sizing is what the sizes of a pool depend on.
-type sizing struct {
-	arrivals []work
-	// ratio is the observed duration of tasks as a share of the estimates.
-	ratio float64
-	// wants are the recent wishes, the oldest first.
-	wants []wish
-}
-
-type wish struct {
-	at    time.Time
-	hosts int
-}
-
-// share is the part of a host that a demand takes.
-func share(demand, room jobs.Resources) float64 {
-	part := 0.0
-	if room.CPU > 0 {
-		part = float64(demand.CPU) / float64(room.CPU)
-	}
-	if room.MemoryMB > 0 {
-		part = max(part, float64(demand.MemoryMB)/float64(room.MemoryMB))
-	}
-	if room.Accelerators > 0 {
-		part = max(part, float64(demand.Accelerators)/float64(room.Accelerators))
-	}
-	return part
-}
-
-// typicalRoom is the room of a host of the pool.
-func (m *Manager) typicalRoom(p *pool) jobs.Resources {
-	var room jobs.Resources
-	for _, c := range p.contacts {
-		if c.ex.Room.CPU > room.CPU {
-			room = c.ex.Room
-		}
-	}
-	if room.CPU > 0 {
-		return room
-	}
-	for _, h := range m.hosts.byName {
-		if h.listed.Room.CPU > room.CPU {
-			room = h.listed.Room
-		}
-	}
-	return room
-}
-
-// arrive counts the work of a new job.
-func (m *Manager) arrive(j *job, now time.Time) {
-	if j.lasting {
-		return
-	}
-	room := m.typicalRoom(j.pool)
-	amount := 0.0
-	for i := range j.rec.Spec.Steps {
-		s := &j.rec.Spec.Steps[i]
-		amount += float64(s.Count) * float64(s.Estimate) * share(s.Room(), room)
-	}
-	j.pool.size.arrivals = append(j.pool.size.arrivals, work{at: now, amount: amount})
-}
-
-// rate is the arriving work in hosts.
-func (z *sizing) rate(now time.Time) float64 {
-	keep := 0
-	for keep < len(z.arrivals) && now.Sub(z.arrivals[keep].at) > rateWindow {
-		keep++
-	}
-	z.arrivals = z.arrivals[keep:]
-	sum := 0.0
-	for _, w := range z.arrivals {
-		sum += w.amount
-	}
-	return sum / float64(rateWindow.Milliseconds()) * z.scale()
-}
-
-// scale is the observed duration of tasks as a share of the estimates.
-func (z *sizing) scale() float64 {
-	if z.ratio == 0 {
-		return 1
-	}
-	return z.ratio
-}
-
-// ratioWeight is the weight of one task in the observed ratio of durations.
-const ratioWeight = 0.02
-
-// learn takes the duration of a task that is done.
-func (z *sizing) learn(took time.Duration, estimate int64) {
-	if estimate <= 0 {
-		return
-	}
-	if z.ratio == 0 {
-		z.ratio = 1
-	}
-	z.ratio += ratioWeight * (float64(took.Milliseconds())/float64(estimate) - z.ratio)
-}
-
-// wanted returns the number of hosts that a pool wants now: for its lasting
-// tasks, and for the larger of the work that it has and the work that arrives.
-func (m *Manager) wanted(p *pool, now time.Time) int {
-	room := m.typicalRoom(p)
-	lasting, batch, spread := 0.0, 0.0, 0
-	for _, j := range p.jobs {
-		if j.outlook(now) == tooLate && !j.lasting {
-			// It is finished with the hosts that are there.
-			continue
-		}
-		for k, steps := range j.rec.Steps {
-			for s := range steps {
-				step := &j.rec.Spec.Steps[s]
-				if steps[s].Left == 0 || !j.rec.IsReady(k, s) {
-					continue
-				}
-				spread = max(spread, spreadOf(step, steps[s].Left))
-				if step.Lasting {
-					lasting += float64(step.Count) * share(step.Room(), room)
-				} else {
-					batch += float64(steps[s].Left) * share(step.Room(), room)
-				}
-			}
-		}
-	}
-	need := lasting + headroom*max(batch, p.size.rate(now))
-	return max(int(math.Ceil(need)), spread, min(len(p.jobs), 1))
-}
-
-// spreadOf is the number of hosts that the tasks of a step need for not sharing
-// them.
-func spreadOf(step *jobs.Step, left int) int {
-	if step.PerExecutor == 0 {
-		return 0
-	}
-	hosts := (left + step.PerExecutor - 1) / step.PerExecutor
-	if step.Lasting {
-		return hosts
-	}
-	return min(hosts, maxSpread)
-}
-
-// settled returns the largest wish of late, so that a pool shrinks only after
-// its demand has been low for a while.
-func (z *sizing) settled(want int, now time.Time) int {
-	z.wants = append(z.wants, wish{now, want})
-	for now.Sub(z.wants[0].at) > shrinkAfter {
-		z.wants = z.wants[1:]
-	}
-	largest := want
-	for _, w := range z.wants {
-		largest = max(largest, w.hosts)
-	}
-	return largest
-}
-
 // poolSize is the state of one pool in a look at the sizes.
 type poolSize struct {
 	pool *pool
@@ -334,8 +158,12 @@
 	return m.hosts.get(slices.Min(names))
 }
 
-// shrink moves hosts that a pool has not needed for a while to the standby pool.
+// shrink moves hosts that a pool has not needed for a while to the standby pool. A
+// new leader does not know yet what a pool has needed.
 func (m *Manager) shrink(z *poolSize, standby string, now time.Time) {
+	if now.Sub(m.since) < shrinkAfter+rateWindow {
+		return
+	}
 	for z.have > z.keep {
 		c := m.idle(z.pool, now)
 		if c == nil {
