Take the end of a run from whichever life lists it

The task counted as running for ever and its job was never finished. A new leader also kept earlier lives of the records as if they could answer. Ends of unanswered orders now move to the life that lists them, an end that is recorded always ends the run, a run that is dropped is counted as waiting again, and earlier lives are over when a leader begins.

--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -360,8 +360,13 @@
 			continue
 		}
 		c.proposedEnd = e.Number
+		key := runKey{e.Task, e.Run}
+		r := c.runs[key]
+		if r == nil {
+			r = m.takeOver(c, key, now)
+		}
 		m.propose(jobs.Command{End: &jobs.End{Task: e.Task, Run: e.Run, Executor: c.ex.Number, How: e.How, Saved: e.Saved, Number: e.Number}})
-		if r := m.runs[runKey{e.Task, e.Run}]; r != nil && r.at == c {
+		if r != nil {
 			r.enter(runEnded, now)
 		}
 	}
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -174,6 +174,11 @@
 	for _, rec := range st.Jobs() {
 		m.adopt(rec, now)
 	}
+	for _, c := range m.contacts.sorted {
+		if newest := m.numberOf(c.ex.ID); newest > c.ex.Number {
+			m.endLife(c, reborn, now)
+		}
+	}
 	for _, w := range st.Waves() {
 		m.addWave(w, now)
 	}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -54,6 +54,7 @@
 	r.at.remove(r)
 	r.job.task(r.key.task).live--
 	delete(r.job.runs, r.key)
+	r.job.recount()
 	r.job.pool.wake()
 	m.leaveIfEmpty(r.at)
 }
@@ -223,7 +224,8 @@
 		}
 	}
 	r := m.runs[runKey{e.Task, e.Run}]
-	if r == nil || r.at.ex.Number != e.Executor {
+	// The records take an end from whichever life lists it.
+	if r == nil || err != nil && r.at.ex.Number != e.Executor {
 		m.settle(e.Task.Job, now)
 		return
 	}
