--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -182,9 +182,14 @@
 
 // leaveIfEmpty records that a life is over once no run of it is live.
 func (m *Manager) leaveIfEmpty(c *contact) {
-	if c.over && len(c.runs) == 0 && m.st.Executor(c.ex.Number) != nil {
-		m.propose(jobs.Command{Leave: &jobs.Leave{Executor: c.ex.Number}})
+	if !c.over || len(c.runs) > 0 {
+		return
+	}
+	if m.st.Executor(c.ex.Number) == nil {
+		m.contacts.remove(c.ex.Number)
+		return
 	}
+	m.propose(jobs.Command{Leave: &jobs.Leave{Executor: c.ex.Number}})
 }
 
 func (m *Manager) left(number int) { m.contacts.remove(number) }
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -7,6 +7,7 @@
 package manager
 
 import (
+	"slices"
 	"time"
 
 	"laburnumdock/internal/core/fault"
@@ -174,7 +175,7 @@
 	for _, rec := range st.Jobs() {
 		m.adopt(rec, now)
 	}
-	for _, c := range m.contacts.sorted {
+	for _, c := range slices.Clone(m.contacts.sorted) {
 		if newest := m.numberOf(c.ex.ID); newest > c.ex.Number {
 			m.endLife(c, reborn, now)
 		}
@@ -209,12 +210,17 @@
 func (m *Manager) inherit(j *job, ref jobs.TaskRef, live jobs.Run, now time.Time) {
 	c := m.contacts.get(live.Executor)
 	if c == nil {
-		// Leave is recorded after the ends of all runs, so this run has none.
+		// The run was taken over by a later life, whose list does not name this
+		// one any more.
 		c = &contact{ex: &jobs.Executor{Number: live.Executor}, runs: map[runKey]*run{}, over: true}
 		m.contacts.add(c)
 	}
 	r := m.newRun(j, ref, live.Number, c, now)
 	r.state = runInherited
+	if c.over {
+		r.state = runDoubtful
+		m.strays = append(m.strays, r)
+	}
 	if j.rec.Phase.IsFinal() {
 		r.end()
 	}
--- a/internal/core/manager/manager_test.go
+++ b/internal/core/manager/manager_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -269,12 +271,15 @@
 
 // Guards against tasks that run twice, start out of order or stay undone when
 // executors crash, hang, are cut off and born again, orders are carried out late
-// and leaders change.
+// and leaders change. RANDOM_DAYS sets the number of days.
 func TestRandomDays(t *testing.T) {
 	seeds := 150
 	if testing.Short() {
 		seeds = 10
 	}
+	if more, err := strconv.Atoi(os.Getenv("RANDOM_DAYS")); err == nil {
+		seeds = more
+	}
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			randomDay(t, seed+1000)
