--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN := bin
 
-.PHONY: help build run demo measure test fmt fmt-check lint unit faults generate
+.PHONY: help build run demo measure test fmt fmt-check lint unit faults soak generate
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -38,6 +38,9 @@
 	go test -race -c -o $(BIN)/faults.test ./internal/faults
 	cd internal/faults && FAULTS_FULL=1 FAULTS_PRINT=1 $(CURDIR)/$(BIN)/faults.test -test.run TestFaultMatrix -test.timeout 10m
 
+soak: ## run the randomized fault soak (SEEDS=50, FIRST=1, SECONDS=12; docs/soak.md)
+	SOAK_SEEDS=$(or $(SEEDS),50) SOAK_FIRST=$(or $(FIRST),1) SOAK_SECONDS=$(or $(SECONDS),12) go test ./platform/soak -run TestSoak -count=1 -v -timeout=0
+
 generate: ## generate code from proto/
 	go build -modfile=tools/buf/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf
 	go build -modfile=tools/gen/go.mod -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
