Say in the log when an executor gets no new tasks

Found by reading: event 1214 was in the catalogue and nothing wrote it, so that a pool whose executors were left alone looked idle for no reason. The line tells why and for how long. The test fails without it.

--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -87,8 +87,8 @@
 	}
 	m.note(Note{Kind: NoteJoined, Executor: e.ID, Pool: e.Pool, Host: e.Host, Reason: e.Address})
 	c := m.addContact(e, now)
-	for _, old := range m.contacts.sorted {
-		if old != c && !old.over && old.ex.ID == e.ID {
+	for _, old := range slices.Clone(m.contacts.sorted) {
+		if old != c && old.ex.ID == e.ID {
 			m.endLife(old, reborn, now)
 		}
 	}
--- a/internal/core/manager/health.go
+++ b/internal/core/manager/health.go
@@ -37,35 +37,37 @@
 
 func (h *health) full(now time.Time) { h.fullUntil = now.Add(fullPause) }
 
-// refusedStart takes an answer that says that the executor is not healthy.
-func (h *health) refusedStart(now time.Time) { h.doubt(now) }
-
-// ended takes the end of a run.
-func (h *health) ended(e *jobs.End, now time.Time) {
+// ended takes the end of a run and tells whether the executor fails what it
+// starts.
+func (h *health) ended(e *jobs.End) bool {
 	switch e.How {
 	case jobs.Done:
 		h.failedJobs, h.distrust = nil, 0
 	case jobs.Failed:
 		for _, id := range h.failedJobs {
 			if id == e.Task.Job {
-				return
+				return false
 			}
 		}
 		h.failedJobs = append(h.failedJobs, e.Task.Job)
 		if len(h.failedJobs) >= failuresToDistrust {
 			h.failedJobs = h.failedJobs[1:]
-			h.doubt(now)
+			return true
 		}
 	default:
 	}
+	return false
 }
 
-func (h *health) doubt(now time.Time) {
-	if now.Before(h.until) {
+// doubt keeps new runs off an executor for a while.
+func (m *Manager) doubt(c *contact, why string, now time.Time) {
+	h := &c.health
+	if !h.isTrusted(now) {
 		return
 	}
 	h.distrust = min(max(2*h.distrust, firstDistrust), longestDistrust)
 	h.until = now.Add(h.distrust)
+	m.note(Note{Kind: NoteDistrusted, Executor: c.ex.ID, Pool: c.ex.Pool, Reason: why, Age: h.distrust})
 }
 
 const (
@@ -92,7 +94,7 @@
 		}
 	}
 	if stalled > 0 {
-		c.health.doubt(now)
+		m.doubt(c, "its runs make no progress", now)
 		m.stopIfDue(c, now)
 	}
 }
--- a/internal/core/manager/manager_test.go
+++ b/internal/core/manager/manager_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -379,3 +381,18 @@
 		}
 	}
 }
+
+// Guards against an executor that is left alone without a line that says so.
+func TestDistrustIsNoted(t *testing.T) {
+	w := yard(t, 11)
+	w.submit("/quotes/", batch(4, 3000))
+	w.run(2500 * time.Millisecond)
+	for _, e := range w.executors {
+		e.grey = "fail"
+	}
+	for range 6 {
+		w.submit("/quotes/", batch(4, 100))
+	}
+	w.run(3 * time.Second)
+	require.True(t, slices.ContainsFunc(w.trace, func(line string) bool { return strings.Contains(line, "it fails what it starts") }))
+}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -118,7 +118,7 @@
 	case NotSent, WrongInstance:
 		m.conclude(r, jobs.NotStarted, now)
 	case Unhealthy:
-		c.health.refusedStart(now)
+		m.doubt(c, "it says that it is not healthy", now)
 		m.conclude(r, jobs.NotStarted, now)
 	case Refused:
 		m.startRefused(c, r, o.Refusal, now)
@@ -219,8 +219,8 @@
 func (m *Manager) runEnded(e *jobs.End, err *fault.Error, now time.Time) {
 	if c := m.contacts.get(e.Executor); c != nil && e.Number > 0 {
 		m.contacts.describe(c, m.executorOr(c.ex))
-		if err == nil {
-			c.health.ended(e, now)
+		if err == nil && c.health.ended(e) {
+			m.doubt(c, "it fails what it starts", now)
 		}
 	}
 	r := m.runs[runKey{e.Task, e.Run}]
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -54,7 +54,7 @@
 	ExecutorLeft       = Event{1211, "executor_left", logrus.InfoLevel, "life of an executor is over", "the reason tells from what it was concluded"}
 	ExecutorSilent     = Event{1212, "executor_silent", logrus.WarnLevel, "executor gives no answer", "its tasks start elsewhere once their lease has ended"}
 	ExecutorAnswers    = Event{1213, "executor_answers", logrus.InfoLevel, "executor answers again", "none"}
-	ExecutorDistrusted = Event{1214, "executor_distrusted", logrus.WarnLevel, "executor gets no new tasks for a while", "the reason tells what its tasks did"}
+	ExecutorDistrusted = Event{1214, "executor_distrusted", logrus.WarnLevel, "executor gets no new tasks for a while", "the reason tells why, age_ms for how long"}
 	JobsConfigured     = Event{1220, "jobs_configured", logrus.InfoLevel, "configuration of queues and pools is in force", "number is its version"}
 	UpkeepWaveStarted  = Event{1221, "upkeep_wave_started", logrus.InfoLevel, "upkeep wave is recorded", "none"}
 	UpkeepBegan        = Event{1222, "upkeep_began", logrus.InfoLevel, "upkeep of a host has begun", "none"}
