--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -32,7 +32,8 @@
 	expiryHorizon = 11 * time.Minute
 )
 
-// loop is the state of the control loop. Only the goroutine in Run touches it.
+// loop is the state of the control loop. Only the goroutine in Run touches it, but
+// for lag.
 // Invariants: the order is persist, send, apply, answer; pending holds the
 // proposals that were appended here and are not answered yet; nothing is
 // acknowledged after failed is set.
@@ -69,7 +70,8 @@
 	office     office
 	// slowSyncs counts the slow syncs in a row.
 	slowSyncs int
-	lag       lagMeter
+	// lag is measured by a goroutine of its own.
+	lag lagMeter
 }
 
 // Run is the control loop. It returns when ctx ends, after leadership was
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"connectrpc.com/connect"
 
@@ -30,15 +29,14 @@
 	defer cancel()
 	answers := make(chan *pb.OrderOutcome, answerQueue)
 	failed := make(chan error, 2)
-	var group sync.WaitGroup
-	group.Go(func() { failed <- s.receive(ctx, wire, answers) })
+	go func() { failed <- s.receive(ctx, wire, answers) }()
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
 		failed <- answer(ctx, wire, answers)
 	}()
-	// Nothing may use the stream after the handler has returned, and the receiver
-	// returns only then.
+	// Nothing may send after the handler has returned. The receiver ends only then,
+	// because the stream is closed.
 	defer func() {
 		cancel()
 		<-sent
