Count a job's waiting tasks once for each end of a run

Read once more: since a run that is dropped counts its job's tasks again, each end of a run counted them twice, because the job is settled right after. Only a begin that the records refuse has no such step, and counts by itself. The roster keeps a contact's place while its host is the same, which it was on every end.

--- a/internal/core/manager/roster.go
+++ b/internal/core/manager/roster.go
@@ -48,6 +48,10 @@
 
 // describe takes a new description of a contact, whose host may differ.
 func (r *roster) describe(c *contact, e *jobs.Executor) {
+	if c.ex.Host == e.Host {
+		c.ex = e
+		return
+	}
 	r.leaveHost(c)
 	c.ex = e
 	r.byHost[e.Host] = append(r.byHost[e.Host], c)
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -54,7 +54,6 @@
 	r.at.remove(r)
 	r.job.task(r.key.task).live--
 	delete(r.job.runs, r.key)
-	r.job.recount()
 	r.job.pool.wake()
 	m.leaveIfEmpty(r.at)
 }
@@ -80,6 +79,7 @@
 	}
 	if err != nil {
 		m.drop(r)
+		r.job.recount()
 		return
 	}
 	r.enter(runOrdered, now)
