Remove a voter that has gone, whichever of it and its successor is noticed first

Cause: a replaced replica was removed only while a caught-up learner waited to take its place and the old one had been silent for 3 s. The successor was promoted 0.7 s after its start, so no learner ever waited, and the voter that had gone counted towards the majority for ever: six voters need four, and two lost disks leave three.

Change: core/quorum states what a cell bears (voters in touch beyond a majority) and removes a silent voter as soon as the cell bears more without it, never below 2 x tolerated losses + 1 voters (new setting, from the platform's tolerance) or the hosts in touch. Silence is counted in ticks since the last response, so a pause of the leader is no silence of others. A replica that hears no leader checks its membership every 0.3 s instead of 2 s. Requests to join are kept one for each address. The decision and its reason are logged, measured and shown by dockctl cluster cell.

Ruled out: waiting with the promotion until a silent voter is judged bears no more at any moment (5 voters with 4 in touch bear 1, as do 6 with 5).

Conclusion: the loss of two disks after a replacement is borne.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -39,6 +39,9 @@
 	// Bootstrap is set when the cell starts for the first time, with empty disks.
 	Bootstrap       bool
 	ElectionTimeout time.Duration
+	// ToleratedLosses is the number of replicas whose loss at once, disks
+	// included, the cell must bear. 0 means quorum.DefaultLosses.
+	ToleratedLosses int
 	QueueLength     int
 	Manager         manager.Config
 	PlatformClient  orders.PlatformClient
@@ -52,7 +55,9 @@
 	// joinInterval is the time between two requests to join.
 	joinInterval = 300 * time.Millisecond
 	// membershipCheckInterval is the time between two checks that this replica is
-	// still a member of the cell.
+	// still a member of the cell. A replica that hears no leader checks at
+	// joinInterval, so that one that was removed while it was cut off soon joins
+	// again.
 	membershipCheckInterval = 2 * time.Second
 	// removalChecks is the number of consecutive checks without membership after
 	// which a replica counts as removed.
@@ -98,7 +103,7 @@
 	if c.replica, err = control.Open(replica); err != nil {
 		return nil, err
 	}
-	c.membership = newMembershipReconciler(c.replica, cfg.Log)
+	c.membership = newMembershipReconciler(c.replica, cfg)
 	c.client = jobclient.New(jobclient.Config{Seeds: cfg.SeedURLs, LeaderWait: leaderWaitLimit, Log: cfg.Log})
 	return c, nil
 }
@@ -215,9 +220,10 @@
 func (c *Cell) maintainMembership(ctx context.Context) error {
 	absentChecks := 0
 	for {
-		voter := c.replica.Status().Members.IsVoter(c.id)
+		status := c.replica.Status()
+		voter := status.Members.IsVoter(c.id)
 		wait := joinInterval
-		if voter {
+		if voter && status.Leader != 0 {
 			wait = membershipCheckInterval
 		}
 		select {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -11,13 +11,16 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	pb "laburnumdock/gen/laburnumdock/v1"
 	"laburnumdock/internal/control"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/jobs"
 	"laburnumdock/internal/core/manager"
+	"laburnumdock/internal/core/quorum"
 	"laburnumdock/internal/jobclient"
 	"laburnumdock/internal/logevent"
 	"laburnumdock/internal/orders"
@@ -265,6 +268,70 @@
 	}, waitTimeout, 20*time.Millisecond)
 }
 
+// Guards against a replaced replica that stays a voter for ever, so that the loss of
+// two disks after the replacement leaves no quorum.
+func TestCellBearsLossOfTwoDisksAfterReplacement(t *testing.T) {
+	s := newTestCell(t, 3)
+	urls := append([]string{}, s.seeds...)
+	for range 2 {
+		urls = append(urls, s.addNode())
+	}
+	for _, url := range urls {
+		s.start(url, true)
+	}
+	s.waitForVoters(urls...)
+	client := s.client()
+	require.Equal(t, manager.ReplyAccepted, mustRequest(t, client, manager.Request{Kind: manager.RequestConfigure, Config: testConfig}).Kind)
+
+	s.kill(urls[4])
+	urls[4] = s.addNode()
+	s.start(urls[4], false)
+	s.waitForVoters(urls...)
+
+	for _, url := range urls {
+		s.kill(url)
+	}
+	for _, lost := range urls[:2] {
+		require.NoError(t, control.ClearDataDir(s.nodes[lost].dir))
+	}
+	for _, url := range urls {
+		s.start(url, false)
+	}
+	s.waitForVoters(urls...)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	config, err := s.nodes[urls[0]].cell.Config(ctx)
+	require.NoError(t, err)
+	require.Equal(t, testConfig, config)
+}
+
+// Guards against a silent voter about which the leader tells operators nothing.
+func TestMembersTellWhySilentVoterStays(t *testing.T) {
+	s := newTestCell(t, 3)
+	for _, url := range s.seeds {
+		s.start(url, true)
+	}
+	s.waitForVoters(s.seeds...)
+	leader := s.waitForLeader()
+	down := s.seeds[0]
+	if down == leader {
+		down = s.seeds[1]
+	}
+	s.kill(down)
+	require.Eventually(t, func() bool {
+		resp, err := service{cell: s.nodes[s.waitForLeader()].cell}.Members(t.Context(), connect.NewRequest(&pb.MembersRequest{}))
+		require.NoError(t, err)
+		for _, m := range resp.Msg.GetMembers() {
+			if m.GetAddress() == down && m.GetSilentMs() > 0 {
+				require.Equal(t, uint32(5), resp.Msg.GetVotersAim())
+				require.Equal(t, string(quorum.NoReplacement), m.GetWaitsFor())
+				return true
+			}
+		}
+		return false
+	}, waitTimeout, 20*time.Millisecond)
+}
+
 // Guards against an entry host without a connection to the core hosts that refuses
 // requests although another entry host can reach the leader.
 func TestRequestsAreRelayedByAnotherEntryHost(t *testing.T) {
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -1,11 +1,15 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"laburnumdock/internal/control"
 	"laburnumdock/internal/core/quorum"
 	"laburnumdock/internal/core/raft"
@@ -25,13 +29,36 @@
 // membershipReconciler proposes the membership changes that package quorum decides
 // on, while this replica leads.
 type membershipReconciler struct {
-	replica *control.Replica
-	log     *logevent.Logger
-	// mu protects joinRequests, the latest request to join of each replica.
+	replica   *control.Replica
+	log       *logevent.Logger
+	minVoters int
+	// tick is the time between two ticks of the replica.
+	tick   time.Duration
+	gauges membershipGauges
+	// mu protects joinRequests, the latest request to join from each address. A
+	// replica that loses its disk again replaces its own earlier request.
 	mu           sync.Mutex
-	joinRequests map[uint64]joinRequest
-	// unreachableSince is owned by the goroutine of run.
-	unreachableSince map[uint64]time.Time
+	joinRequests map[string]joinRequest
+	// decision is the latest decision of this replica as the leader, nil if it does
+	// not lead.
+	decision atomic.Pointer[quorum.Decision]
+	// loggedWaits is owned by the goroutine of run.
+	loggedWaits map[uint64]quorum.Reason
+}
+
+// membershipGauges are the metrics of the leader's decisions. They are 0 on the
+// other replicas.
+type membershipGauges struct{ voters, aim, silent metrics.Gauge }
+
+func newMembershipGauges(reg metrics.Registry) membershipGauges {
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("cell_"+name, reg) }
+	return membershipGauges{voters: gauge("voters"), aim: gauge("voters_aim"), silent: gauge("members_silent")}
+}
+
+func (g membershipGauges) update(voters, aim, silent int) {
+	g.voters.Update(int64(voters))
+	g.aim.Update(int64(aim))
+	g.silent.Update(int64(silent))
 }
 
 type joinRequest struct {
@@ -39,15 +66,18 @@
 	receivedAt time.Time
 }
 
-func newMembershipReconciler(r *control.Replica, log *logevent.Logger) *membershipReconciler {
-	return &membershipReconciler{replica: r, log: log, joinRequests: map[uint64]joinRequest{}, unreachableSince: map[uint64]time.Time{}}
+func newMembershipReconciler(r *control.Replica, cfg Config) *membershipReconciler {
+	return &membershipReconciler{
+		replica: r, log: cfg.Log, minVoters: quorum.MinVoters(cmp.Or(cfg.ToleratedLosses, quorum.DefaultLosses)), gauges: newMembershipGauges(cfg.Metrics),
+		tick: cfg.ElectionTimeout / ticksPerElection, joinRequests: map[string]joinRequest{}, loggedWaits: map[uint64]quorum.Reason{},
+	}
 }
 
 // addJoinRequest records a request to join. Any goroutine may call it.
 func (m *membershipReconciler) addJoinRequest(j quorum.Joiner, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.joinRequests[j.ID] = joinRequest{joiner: j, receivedAt: now}
+	m.joinRequests[j.Address] = joinRequest{joiner: j, receivedAt: now}
 }
 
 // run checks the membership at every reconcileInterval until ctx ends.
@@ -61,21 +91,46 @@
 		case <-ticker.C:
 		}
 		if !m.replica.IsLeader() {
-			clear(m.unreachableSince)
+			clear(m.loggedWaits)
+			m.decision.Store(nil)
+			m.gauges.update(0, 0, 0)
 			continue
 		}
-		change, due := quorum.NextChange(m.view(time.Now()))
-		if !due {
+		view := m.view(time.Now())
+		decision := quorum.Decide(view)
+		m.decision.Store(&decision)
+		m.gauges.update(len(view.Members.Voters), decision.Aim, len(view.SilentFor))
+		m.logWaits(view, decision)
+		if decision.Due {
+			m.propose(ctx, view, decision)
+		}
+	}
+}
+
+// logWaits logs each member about which no change is due, once for each reason.
+func (m *membershipReconciler) logWaits(view quorum.View, decision quorum.Decision) {
+	waits := make(map[uint64]quorum.Reason, len(decision.Waits))
+	for _, w := range decision.Waits {
+		waits[w.ID] = w.Reason
+		if m.loggedWaits[w.ID] == w.Reason {
 			continue
 		}
-		m.propose(ctx, change)
+		m.log.Log(logevent.MemberChangeWaits, logevent.Fields{
+			"replica": w.ID, "address": view.Addresses[w.ID], "reason": w.Reason, "silent_ms": w.SilentFor.Milliseconds(),
+			"voters": len(view.Members.Voters), "aim": decision.Aim,
+		})
 	}
+	m.loggedWaits = waits
 }
 
-func (m *membershipReconciler) propose(ctx context.Context, change raft.MemberChange) {
+func (m *membershipReconciler) propose(ctx context.Context, view quorum.View, decision quorum.Decision) {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
-	fields := logevent.Fields{"change": changeNames[change.Kind], "replica": change.ID, "address": change.Address}
+	change := decision.Change
+	fields := logevent.Fields{
+		"change": changeNames[change.Kind], "replica": change.ID, "address": cmp.Or(change.Address, view.Addresses[change.ID]), "reason": decision.Reason,
+		"silent_ms": view.SilentFor[change.ID].Milliseconds(), "voters": len(view.Members.Voters), "aim": decision.Aim,
+	}
 	if err := m.replica.ProposeMember(ctx, change); err != nil {
 		m.log.Err(logevent.MemberNotChanged, err, fields)
 		return
@@ -86,24 +141,14 @@
 // changeNames are the kinds of changes as the log shows them.
 var changeNames = map[raft.ChangeKind]string{raft.AddLearner: "add", raft.PromoteLearner: "promote", raft.RemoveMember: "remove"}
 
-// view returns the leader's view of the cell and updates unreachableSince.
+// view returns the leader's view of the cell.
 func (m *membershipReconciler) view(now time.Time) quorum.View {
 	status := m.replica.Status()
-	v := quorum.View{
+	return quorum.View{
 		Self: status.ID, Members: status.Members, MemberStatuses: status.MemberStatuses, Addresses: status.Addresses,
-		Joiners: m.recentJoiners(now), UnreachableFor: map[uint64]time.Duration{},
-	}
-	for _, p := range status.MemberStatuses {
-		if p.Reachable || p.ID == status.ID {
-			delete(m.unreachableSince, p.ID)
-			continue
-		}
-		if _, ok := m.unreachableSince[p.ID]; !ok {
-			m.unreachableSince[p.ID] = now
-		}
-		v.UnreachableFor[p.ID] = now.Sub(m.unreachableSince[p.ID])
+		Joiners: m.recentJoiners(now), MinVoters: m.minVoters,
+		SilentFor: quorum.SilentMembers(status.MemberStatuses, m.tick, ticksPerElection),
 	}
-	return v
 }
 
 // recentJoiners returns the replicas that recently requested to join, in order of
@@ -112,18 +157,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []quorum.Joiner
-	for id, r := range m.joinRequests {
+	for address, r := range m.joinRequests {
 		if now.Sub(r.receivedAt) > joinRequestTTL {
-			delete(m.joinRequests, id)
+			delete(m.joinRequests, address)
 			continue
 		}
 		list = append(list, r.joiner)
 	}
-	slices.SortFunc(list, func(a, b quorum.Joiner) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b quorum.Joiner) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,15 +80,32 @@
 		EntryHosts: s.cell.entryHosts.recordAndList(req.Msg.GetEntryHost(), time.Now()),
 		Id:         status.ID, Leader: status.Leader, IsLeader: status.Role == raft.Leader && !status.Stopping && status.StorageError == nil, Term: status.Term,
 	}
-	for _, id := range status.Members.Voters {
-		resp.Members = append(resp.Members, &pb.CellMember{Id: id, Address: status.Addresses[id], Voter: true})
+	for _, id := range slices.Concat(status.Members.Voters, status.Members.Learners) {
+		resp.Members = append(resp.Members, &pb.CellMember{Id: id, Address: status.Addresses[id], Voter: status.Members.IsVoter(id)})
 	}
-	for _, id := range status.Members.Learners {
-		resp.Members = append(resp.Members, &pb.CellMember{Id: id, Address: status.Addresses[id]})
+	if decision := s.cell.membership.decision.Load(); resp.GetIsLeader() && decision != nil {
+		addLeaderView(resp, status.MemberStatuses, *decision)
 	}
 	return connect.NewResponse(resp), nil
 }
 
+// addLeaderView adds to resp what only the leader knows of the members.
+func addLeaderView(resp *pb.MembersResponse, statuses []raft.MemberStatus, decision quorum.Decision) {
+	resp.VotersAim = uint32(decision.Aim)
+	for _, m := range resp.GetMembers() {
+		for _, status := range statuses {
+			if status.ID == m.GetId() {
+				m.CaughtUp = status.CaughtUp
+			}
+		}
+		for _, wait := range decision.Waits {
+			if wait.ID == m.GetId() {
+				m.SilentMs, m.WaitsFor = wait.SilentFor.Milliseconds(), string(wait.Reason)
+			}
+		}
+	}
+}
+
 // Join implements the CellService. The membershipReconciler adds the replica
 // later.
 func (s service) Join(_ context.Context, req *connect.Request[pb.JoinRequest]) (*connect.Response[pb.JoinResponse], error) {
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -21,6 +21,7 @@
 		Name: "cluster", Usage: "show and change the members of the control cluster",
 		Commands: []*cli.Command{
 			{Name: "status", Usage: "show the members and how many further losses the cluster tolerates", Action: runClusterStatus},
+			cellStatusCommand(),
 			memberCommand(api.MemberAdd, "add a replica as a learner, after its init-join", "ID", "URL"),
 			memberCommand(api.MemberPromote, "make a caught-up learner a voter", "ID"),
 			memberCommand(api.MemberRemove, "remove a replica; its ID is never reused", "ID"),
--- a/internal/core/raft/node.go
+++ b/internal/core/raft/node.go
@@ -192,6 +192,7 @@
 	}
 	for _, p := range n.progress {
 		p.snapshotTicks++
+		p.silentTicks++
 	}
 	n.heartbeatElapsed++
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
--- a/internal/core/raft/progress.go
+++ b/internal/core/raft/progress.go
@@ -30,6 +30,10 @@
 	active bool
 	// prevActive is the value of active in the period before the last quorum check.
 	prevActive bool
+	// silentTicks is the number of ticks since the member last responded, or since
+	// this replica became the leader or added it. Ticks do not pass while the
+	// leader's process is suspended, so its own pause is no silence of the others.
+	silentTicks int
 	// sentCommit is the commit index in the last MsgAppend sent.
 	sentCommit uint64
 	// ackedReadRound is the newest read round that the member has confirmed.
@@ -38,6 +42,9 @@
 	snapshotTicks int
 }
 
+// recordResponse notes that the member has responded.
+func (p *progress) recordResponse() { p.active, p.silentTicks = true, 0 }
+
 // becomeProbing switches to probing from next on, but not below match+1.
 func (p *progress) becomeProbing(next uint64) {
 	p.state, p.next, p.probeSent = probing, max(next, p.match+1), false
--- a/internal/core/raft/replication.go
+++ b/internal/core/raft/replication.go
@@ -201,7 +201,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.recordResponse()
 	if m.Reject {
 		n.backtrack(p, m)
 		return
@@ -251,7 +251,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.recordResponse()
 	p.probeSent = false
 	p.ackedReadRound = max(p.ackedReadRound, m.Token)
 	n.confirmReads()
--- a/internal/core/raft/status.go
+++ b/internal/core/raft/status.go
@@ -10,6 +10,9 @@
 	// Reachable is set when the member responded within the last two quorum
 	// check periods.
 	Reachable bool
+	// SilentTicks is the number of ticks since the member last responded, or since
+	// this replica became the leader or added it. It is 0 for the leader.
+	SilentTicks int
 	// CaughtUp is set when the member is reachable and has synced the entries
 	// that were committed one heartbeat ago.
 	CaughtUp bool
@@ -57,10 +60,14 @@
 	s.ProgressKnown = true
 	for _, id := range n.memberIDs() {
 		p := n.progress[id]
-		s.MemberStatuses = append(s.MemberStatuses, MemberStatus{
+		status := MemberStatus{
 			ID: id, Learner: s.Members.IsLearner(id), Match: p.match,
 			Reachable: id == n.cfg.ID || p.isReachable(), CaughtUp: n.isCaughtUp(id),
-		})
+		}
+		if id != n.cfg.ID {
+			status.SilentTicks = p.silentTicks
+		}
+		s.MemberStatuses = append(s.MemberStatuses, status)
 	}
 	surplus := n.countCaughtUpVoters(s.Members) - s.Members.Quorum()
 	s.HasQuorum = surplus >= 0
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -38,6 +38,7 @@
 	MemberNotChanged  = Event{1117, "member_not_changed", logrus.WarnLevel, "membership could not be changed", "none; the leader retries"}
 	JoinNotAsked      = Event{1118, "join_not_asked", logrus.WarnLevel, "the request to join the cell failed", "check the seeds and the network between"}
 	ReplicaRemoved    = Event{1119, "replica_removed", logrus.WarnLevel, "the cell has removed this replica, which joins again", "none"}
+	MemberChangeWaits = Event{1120, "member_change_waits", logrus.InfoLevel, "a silent or new member of the cell stays as it is for now", "reason tells what the change waits for; see \"Members of the cell\" in OPERATIONS.md"}
 )
 
 // Events of the leader's decisions on jobs: 1200 to 1299.
@@ -83,7 +84,7 @@
 		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull, SettingsReloaded, SettingsRefused, LinesDropped,
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
 		PeerUnreachable, LeadershipBegan, LeadershipEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
-		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved,
+		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved, MemberChangeWaits,
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
--- a/internal/role/cell.go
+++ b/internal/role/cell.go
@@ -136,7 +136,7 @@
 	}
 	return cell.Config{
 		Cluster: *s.ClusterID, Dir: *s.DataDir, SelfURL: "http://" + *s.Peer.Address, SeedURLs: seeds, Bootstrap: *s.Bootstrap,
-		ElectionTimeout: *s.ElectionTimeout, QueueLength: *s.QueueLength, PlatformClient: client, Metrics: registry, Log: log,
+		ElectionTimeout: *s.ElectionTimeout, ToleratedLosses: *s.ToleratedLosses, QueueLength: *s.QueueLength, PlatformClient: client, Metrics: registry, Log: log,
 		Manager: manager.Config{
 			MaxLease: *s.MaxLease, HostLease: *s.HostLease,
 			MoveTime: *s.MoveTime, UpkeepTime: *s.UpkeepTime,
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"laburnumdock/internal/core/quorum"
+)
 
 // Process holds the settings that every process has.
 type Process struct {
@@ -182,6 +186,7 @@
 	ClusterID       *string
 	DataDir         *string
 	ElectionTimeout *time.Duration
+	ToleratedLosses *int
 	QueueLength     *int
 	MemoryMB        *int
 	MaxBodyBytes    *int
@@ -215,6 +220,7 @@
 		ClusterID:       s.String("cell", "cluster-id", "cell", false, "identity of the cell; files of another are refused"),
 		DataDir:         s.String("cell", "data-dir", "", true, "folder for the log and snapshots"),
 		ElectionTimeout: s.Duration("cell", "election-timeout", 500*time.Millisecond, 100*time.Millisecond, 30*time.Second, "silence of the leader after which an election starts"),
+		ToleratedLosses: s.Int("cell", "tolerated-losses", quorum.DefaultLosses, 0, 16, "replicas", "replicas whose loss at once, disks included, the cell must bear; 0 means the default"),
 		QueueLength:     s.Int("limits", "queue-length", 4096, 16, 65_536, "events", "events that may wait for the control loop"),
 		MemoryMB:        s.Int("limits", "memory", 0, 0, 1<<20, "MB", "memory that the process may use; 0 means no limit"),
 		MaxBodyBytes:    s.Int("limits", "max-body-bytes", 4<<20, 1<<10, 64<<20, "bytes", "largest body of a request"),
