Record orders for hosts before they are sent, so that a new leader waits only for these

Cause: a new leader gave no order for a host within the platform's lease time (3 s) unless the host's executor had proved that no earlier order was recent. Hosts of the standby pool have no executor, so after each change of leader no pool grew for 3 s.

Change: the leader records each order (one command for all of a step) before it sends it. A leader's log holds every order that an earlier one can have sent, so a new leader waits only for hosts with such a record. Records are removed once any leader may order the host. Orders for upkeep of an earlier leader count towards the limit of their wave until they have settled; before, only a listing showed them.

Tests: TestNewLeaderMovesHostsWithoutRecentOrders fails on the old rule, TestNewLeaderWaitsForHostsWithRecentOrders without the records.

Ruled out: shortening the wait itself, because orders of two leaders for one host must stay 3 s apart where fences are not checked.

--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -12,6 +12,7 @@
 	StartWave        *Wave             `cbor:"8,keyasint,omitempty"`
 	RecordUpkeep     *RecordUpkeep     `cbor:"9,keyasint,omitempty"`
 	DeleteJob        *DeleteJob        `cbor:"10,keyasint,omitempty"`
+	RecordHostOrders *RecordHostOrders `cbor:"11,keyasint,omitempty"`
 }
 
 // AcceptJob stores a submitted job. Repeating it for the same ID has no effect.
@@ -103,6 +104,27 @@
 	Removed bool `cbor:"3,keyasint,omitempty"`
 }
 
+// RecordHostOrders records which hosts have recent orders for a move or upkeep. No
+// such order is sent before its record is applied, so a later leader knows every
+// host for which an order may still be under way, and need not wait for the others.
+type RecordHostOrders struct {
+	// Term is the term of the leader that gives the orders.
+	Term uint64 `cbor:"1,keyasint"`
+	// Orders are about to be sent.
+	Orders []HostOrder `cbor:"2,keyasint,omitempty"`
+	// Settled are hosts whose newest order is so old that any leader may order them.
+	Settled []string `cbor:"3,keyasint,omitempty"`
+}
+
+// HostOrder names the host of an order for a move or upkeep.
+type HostOrder struct {
+	Host string `cbor:"1,keyasint"`
+	// Wave is the wave of an order for upkeep, 0 for a move.
+	Wave int64 `cbor:"2,keyasint,omitempty"`
+	// Term is the term of the leader that gave the order. Apply sets it.
+	Term uint64 `cbor:"3,keyasint,omitempty"`
+}
+
 // DeleteJob removes the record of an ended job after its retention time.
 type DeleteJob struct {
 	ID string `cbor:"1,keyasint"`
--- a/internal/core/jobs/dump.go
+++ b/internal/core/jobs/dump.go
@@ -10,11 +10,13 @@
 	Waves        []Wave     `cbor:"4,keyasint,omitempty"`
 	LastSeq      uint64     `cbor:"5,keyasint,omitempty"`
 	LastExecutor int        `cbor:"6,keyasint,omitempty"`
+	// HostOrders holds the newest order for each host with recent orders.
+	HostOrders []HostOrder `cbor:"7,keyasint,omitempty"`
 }
 
 // Dump returns a copy of the records that later commands do not change.
 func (s *State) Dump() *Dump {
-	d := &Dump{Config: s.config, LastSeq: s.lastSeq, LastExecutor: s.lastExecutor}
+	d := &Dump{Config: s.config, LastSeq: s.lastSeq, LastExecutor: s.lastExecutor, HostOrders: s.HostOrders()}
 	for _, j := range s.Jobs() {
 		d.Jobs = append(d.Jobs, j.clone())
 	}
@@ -53,6 +55,9 @@
 		return s
 	}
 	s.config, s.lastSeq, s.lastExecutor = d.Config, d.LastSeq, d.LastExecutor
+	for _, o := range d.HostOrders {
+		s.hostOrders[o.Host] = o
+	}
 	for i := range d.Jobs {
 		s.jobs[d.Jobs[i].ID] = &d.Jobs[i]
 	}
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -123,18 +123,20 @@
 // the StepsLeft and LiveRuns of a job match its tasks; config is only replaced
 // by a higher version.
 type State struct {
-	config       *Config
-	jobs         map[string]*Job
-	executors    map[int]*Executor
-	newestByID   map[string]int
-	waves        map[int64]*Wave
+	config     *Config
+	jobs       map[string]*Job
+	executors  map[int]*Executor
+	newestByID map[string]int
+	waves      map[int64]*Wave
+	// hostOrders holds the newest order for each host with recent orders.
+	hostOrders   map[string]HostOrder
 	lastSeq      uint64
 	lastExecutor int
 }
 
 // New returns an empty State.
 func New() *State {
-	return &State{jobs: map[string]*Job{}, executors: map[int]*Executor{}, newestByID: map[string]int{}, waves: map[int64]*Wave{}}
+	return &State{jobs: map[string]*Job{}, executors: map[int]*Executor{}, newestByID: map[string]int{}, waves: map[int64]*Wave{}, hostOrders: map[string]HostOrder{}}
 }
 
 // Config returns the configuration in force, or nil.
@@ -182,6 +184,17 @@
 	return list
 }
 
+// HostOrders returns the newest order for each host with recent orders, in the order
+// of the hosts.
+func (s *State) HostOrders() []HostOrder {
+	list := make([]HostOrder, 0, len(s.hostOrders))
+	for _, o := range s.hostOrders {
+		list = append(list, o)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Host < list[b].Host })
+	return list
+}
+
 // Task returns the record and the step of a task, or nil.
 func (s *State) Task(ref TaskRef) (*Task, *Step) {
 	j := s.jobs[ref.Job]
@@ -240,6 +253,8 @@
 		return s.recordUpkeep(c.RecordUpkeep)
 	case c.DeleteJob != nil:
 		return s.deleteJob(c.DeleteJob.ID)
+	case c.RecordHostOrders != nil:
+		return s.recordHostOrders(c.RecordHostOrders)
 	}
 	return fault.New(fault.Internal, "command is empty or of an unknown kind")
 }
@@ -489,3 +504,18 @@
 	}
 	return nil
 }
+
+// recordHostOrders removes the settled hosts before it adds those that are about to
+// be ordered. An order of a later term keeps its record.
+func (s *State) recordHostOrders(r *RecordHostOrders) *fault.Error {
+	for _, name := range r.Settled {
+		if s.hostOrders[name].Term <= r.Term {
+			delete(s.hostOrders, name)
+		}
+	}
+	for _, o := range r.Orders {
+		o.Term = max(s.hostOrders[o.Host].Term, r.Term)
+		s.hostOrders[o.Host] = o
+	}
+	return nil
+}
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -29,6 +29,11 @@
 	// earliest time for the next one.
 	orderPending bool
 	nextOrder    time.Time
+	// queued is the order that is sent once its record is applied, or nil.
+	queued *queuedOrder
+	// inherited is the recent order of an earlier leader, which may still be under
+	// way, or nil.
+	inherited *jobs.HostOrder
 	// pool is the pool that the host belongs to, and target the pool it is
 	// moving to.
 	pool   string
@@ -51,6 +56,16 @@
 	rows []HostRow
 	// listStartedAt is the start of the newest listing, complete or not.
 	listStartedAt time.Time
+	// unrecorded are the queued orders whose record is not proposed yet.
+	unrecorded []jobs.HostOrder
+	// settledAt is the time of the last check for orders that have settled.
+	settledAt time.Time
+}
+
+// queuedOrder is an order for a host with its context.
+type queuedOrder struct {
+	call    Call
+	pending pendingCall
 }
 
 func newHostInventory() hostInventory { return hostInventory{byName: map[string]*host{}} }
@@ -88,23 +103,86 @@
 	minListInterval = 2 * time.Second
 	// hostCallTimeout bounds a call to the platform, which may be slow.
 	hostCallTimeout = 2 * time.Second
+	// settleInterval is the time between two checks for orders that have settled. The
+	// records are read only after a change of leader.
+	settleInterval = 500 * time.Millisecond
 	// hostOrderInterval is the time between two equal orders for one host.
 	hostOrderInterval = 500 * time.Millisecond
 )
 
 // mayOrderHost reports whether this leader may give an order for a host. Orders
-// of two leaders for one host must be at least HostLease apart. Since an order
-// that is carried out ends the host's executor incarnation, an incarnation that
-// has answered this leader and is older than HostLease shows that no such order
-// was recent.
+// of two leaders for one host must be at least HostLease apart. An earlier leader
+// has recorded every order before it sent it, so only hosts with such a record
+// have to wait. Since an order that is carried out ends the host's executor
+// incarnation, an incarnation that has answered this leader and is older than
+// HostLease shows that no such order was recent.
 func (m *Manager) mayOrderHost(name string, now time.Time) bool {
-	if now.Sub(m.startedAt) >= m.cfg.HostLease {
+	h := m.hosts.byName[name]
+	if h == nil || !m.mayBeUnderWay(h, now) {
 		return true
 	}
 	s := m.sessionOn(name)
 	return s != nil && s.confirmed && s.minAge(m.cfg.ReportInterval) >= m.cfg.HostLease
 }
 
+// mayBeUnderWay reports whether an order of an earlier leader for the host may not
+// have taken effect yet.
+func (m *Manager) mayBeUnderWay(h *host, now time.Time) bool {
+	return h.inherited != nil && now.Sub(m.startedAt) < m.cfg.HostLease
+}
+
+// orderHost queues an order for a host until its record is applied. The host counts
+// as away from now on.
+func (m *Manager) orderHost(h *host, c Call, now time.Time) {
+	h.away, h.changedAt, h.orderedAt, h.orderPending = true, now, now, true
+	c.Timeout, c.Host = hostCallTimeout, h.name
+	h.queued = &queuedOrder{call: c, pending: pendingCall{host: h.name, pool: c.Pool, wave: c.Wave}}
+	m.hosts.unrecorded = append(m.hosts.unrecorded, jobs.HostOrder{Host: h.name, Wave: c.Wave})
+}
+
+// recordHostOrders proposes the record of the queued orders. From time to time it
+// also proposes to remove the records of orders that have settled.
+func (m *Manager) recordHostOrders(now time.Time) {
+	record := jobs.RecordHostOrders{Term: m.term, Orders: m.hosts.unrecorded}
+	m.hosts.unrecorded = nil
+	if now.Sub(m.hosts.settledAt) >= settleInterval {
+		m.hosts.settledAt = now
+		record.Settled = m.settledHosts(now)
+	}
+	if len(record.Orders)+len(record.Settled) > 0 {
+		m.propose(jobs.Command{RecordHostOrders: &record})
+	}
+}
+
+// settledHosts returns the recorded hosts that any leader may order now.
+func (m *Manager) settledHosts(now time.Time) []string {
+	var settled []string
+	for _, o := range m.state.HostOrders() {
+		h := m.hosts.get(o.Host)
+		if !h.orderPending && now.Sub(m.startedAt) >= m.cfg.HostLease && now.Sub(h.orderedAt) >= m.cfg.HostLease {
+			settled = append(settled, o.Host)
+		}
+	}
+	return settled
+}
+
+// hostOrdersRecorded sends the queued orders of a record that was applied.
+func (m *Manager) hostOrdersRecorded(r *jobs.RecordHostOrders, now time.Time) {
+	for _, o := range r.Orders {
+		h := m.hosts.get(o.Host)
+		if r.Term != m.term {
+			h.inherited = &o
+			continue
+		}
+		if h.queued == nil {
+			continue
+		}
+		order := *h.queued
+		h.queued, h.changedAt, h.orderedAt = nil, now, now
+		m.call(order.call, order.pending, now)
+	}
+}
+
 // minAge returns a lower bound of the incarnation's age, from the number of its
 // reports.
 func (s *session) minAge(reportInterval time.Duration) time.Duration {
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -192,6 +192,9 @@
 	for _, w := range state.Waves() {
 		m.addWave(w, now)
 	}
+	for _, o := range state.HostOrders() {
+		m.hosts.get(o.Host).inherited = &o
+	}
 	return m
 }
 
@@ -246,6 +249,7 @@
 	m.stepUnsettledRuns(now)
 	m.stepWaves(now)
 	m.stepPoolSizes(now)
+	m.recordHostOrders(now)
 	m.schedule(now)
 	m.deleteExpiredJobs(now)
 	out := m.out
@@ -301,6 +305,8 @@
 		m.waveStarted(c.StartWave, now)
 	case c.RecordUpkeep != nil:
 		m.upkeepRecorded(c.RecordUpkeep, now)
+	case c.RecordHostOrders != nil:
+		m.hostOrdersRecorded(c.RecordHostOrders, now)
 	}
 }
 
--- a/internal/core/manager/manager_test.go
+++ b/internal/core/manager/manager_test.go
@@ -129,6 +129,51 @@
 	s.requireNoViolations()
 }
 
+// hostsOf counts the hosts that serve a pool or are moving to it.
+func (s *simulation) hostsOf(pool string) int {
+	count := 0
+	for _, h := range s.hosts {
+		if h.pool == pool {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a rise of demand that meets a change of leader and gets no host for
+// the whole time in which orders of the earlier leader could be under way, although
+// that leader had not ordered the hosts for long.
+func TestNewLeaderMovesHostsWithoutRecentOrders(t *testing.T) {
+	s := newSmallFleet(t, 11)
+	s.advance(10 * time.Second)
+	before := s.hostsOf("a")
+	s.failover(500 * time.Millisecond)
+	s.advance(600 * time.Millisecond)
+	for range 20 {
+		s.submit("/quotes/", batchSpec(8, 2000))
+	}
+	s.advance(time.Second)
+	require.Greater(t, s.hostsOf("a"), before+3)
+	s.requireNoViolations()
+}
+
+// Guards against orders of two leaders for one host within the lease time: hosts that
+// the earlier leader had just ordered must wait.
+func TestNewLeaderWaitsForHostsWithRecentOrders(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSmallFleet(t, 100+seed)
+		for i := range 6 {
+			for range 10 {
+				s.submit([]string{"/quotes/", "/cuts/"}[i%2], batchSpec(8, 800))
+			}
+			s.advance(time.Duration(1000+100*seed) * time.Millisecond)
+			s.failover(300 * time.Millisecond)
+		}
+		s.advance(10 * time.Second)
+		s.requireNoViolations()
+	}
+}
+
 // Guards against upkeep beyond the wave's limit: a report that was sent before
 // a host went down for its upkeep is recorded after the order and does not show
 // that the host is back.
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -180,8 +180,8 @@
 }
 
 func (m *Manager) orderMove(h *host, target string, now time.Time) {
-	h.away, h.changedAt, h.orderedAt, h.orderPending, h.target = true, now, now, true, target
-	m.call(Call{Kind: CallMoveHost, Timeout: hostCallTimeout, Host: h.name, Pool: target}, pendingCall{host: h.name, pool: target}, now)
+	h.target = target
+	m.orderHost(h, Call{Kind: CallMoveHost, Pool: target}, now)
 	m.logEvent(Event{Kind: EventHostMoved, Host: h.name, Pool: target})
 }
 
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -69,6 +69,10 @@
 	state                  manager.HostState
 	wave                   int64
 	executor               *executor
+	// orderTerm and orderedAt are the term and the time of sending of the newest order
+	// that has arrived.
+	orderTerm uint64
+	orderedAt time.Time
 }
 
 type executor struct {
@@ -146,6 +150,7 @@
 	moveTime     = 1500 * time.Millisecond
 	upkeepTime   = 2 * time.Second
 	maxLease     = 6 * time.Second
+	hostLease    = 3 * time.Second
 	maxStopTime  = 200 * time.Millisecond
 )
 
@@ -172,7 +177,7 @@
 
 func (s *simulation) managerConfig() manager.Config {
 	return manager.Config{
-		HasHostAPI: true, MaxLease: maxLease, HostLease: 3 * time.Second,
+		HasHostAPI: true, MaxLease: maxLease, HostLease: hostLease,
 		MoveTime: moveTime, UpkeepTime: upkeepTime, ReportInterval: 1500 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
@@ -310,7 +315,11 @@
 	}
 	s.schedule(c.Timeout, func() { finish(manager.Outcome{Verdict: manager.NoAnswer}) })
 	if c.Kind == manager.CallListHosts || c.Kind == manager.CallMoveHost || c.Kind == manager.CallUpkeepHost {
-		s.schedule(networkDelay, func() { o := s.handleHostCall(c); s.schedule(networkDelay, func() { finish(o) }) })
+		delay := networkDelay
+		if s.lateOrderShare > 0 && s.rng.Float64() < s.lateOrderShare {
+			delay = time.Duration(s.rng.Int64N(int64(c.Timeout)))
+		}
+		s.schedule(delay, func() { o := s.handleHostCall(c, sentAt); s.schedule(networkDelay, func() { finish(o) }) })
 		return
 	}
 	if c.Kind == manager.CallAdvise {
@@ -710,7 +719,7 @@
 func (s *simulation) isCompleted(ref jobs.TaskRef) bool { return s.jobs[ref.Job].completed[ref] }
 
 // handleHostCall simulates the platform's interface for hosts.
-func (s *simulation) handleHostCall(c manager.Call) manager.Outcome {
+func (s *simulation) handleHostCall(c manager.Call, sentAt time.Time) manager.Outcome {
 	if c.Kind == manager.CallListHosts {
 		o := manager.Outcome{Verdict: manager.OK}
 		for n := range len(s.hosts) {
@@ -724,6 +733,7 @@
 	if h == nil {
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedUnknownHost}
 	}
+	s.checkOrderOfLeaders(h, c, sentAt)
 	if h.state != manager.HostUp {
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedHostBusy}
 	}
@@ -759,6 +769,19 @@
 	return manager.Outcome{Verdict: manager.OK}
 }
 
+// checkOrderOfLeaders checks that the orders of two leaders for one host are far
+// enough apart and do not overtake each other.
+func (s *simulation) checkOrderOfLeaders(h *host, c manager.Call, sentAt time.Time) {
+	if c.Token < h.orderTerm {
+		s.violate("host orders: %s of term %d for %s after one of term %d", c.Kind, c.Token, h.name, h.orderTerm)
+	}
+	apart := s.now.Sub(h.orderedAt)
+	if c.Token > h.orderTerm && h.orderTerm > 0 && apart < hostLease {
+		s.violate("host orders: %s of term %d for %s only %s after one of term %d", c.Kind, c.Token, h.name, apart, h.orderTerm)
+	}
+	h.orderTerm, h.orderedAt = c.Token, sentAt
+}
+
 // checkEviction checks that a planned action ends no long-running task that its
 // step protects.
 func (s *simulation) checkEviction(h *host, c manager.Call) {
--- a/internal/core/manager/size_test.go
+++ b/internal/core/manager/size_test.go
@@ -53,7 +53,11 @@
 	moves := func(until time.Duration) int {
 		count := 0
 		for at := time.Duration(0); at < until; at += poolCheckInterval {
-			for _, call := range m.Step(now.Add(at)).Calls {
+			out := m.Step(now.Add(at))
+			for _, command := range out.Commands {
+				m.HandleApplied(command, state.Apply(command), now.Add(at))
+			}
+			for _, call := range out.Calls {
 				if call.Kind == CallMoveHost {
 					count++
 				}
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -107,7 +107,7 @@
 	}
 	urgent := m.isUrgent(w, now)
 	m.reserveHosts(w, urgent)
-	slots := max(w.rec.MaxParallel, 1) - m.countInUpkeep(w)
+	slots := max(w.rec.MaxParallel, 1) - m.countInUpkeep(w, now)
 	for _, name := range m.candidates(w) {
 		if m.tryUpkeep(w, name, slots > 0, urgent, now) {
 			slots--
@@ -116,11 +116,12 @@
 }
 
 // countInUpkeep returns the number of hosts that are away for their upkeep in
-// the wave.
-func (m *Manager) countInUpkeep(w *wave) int {
+// the wave, or may soon be by an order of an earlier leader.
+func (m *Manager) countInUpkeep(w *wave, now time.Time) int {
 	count := 0
 	for _, name := range w.rec.Hosts {
-		if h := m.hosts.get(name); h.away && h.wave == w.rec.ID {
+		h := m.hosts.get(name)
+		if h.away && h.wave == w.rec.ID || m.mayBeUnderWay(h, now) && h.inherited.Wave == w.rec.ID {
 			count++
 		}
 	}
@@ -254,9 +255,9 @@
 }
 
 func (m *Manager) orderUpkeep(w *wave, h *host, now time.Time) {
-	h.away, h.changedAt, h.orderedAt, h.orderPending, h.wave = true, now, now, true, w.rec.ID
+	h.wave = w.rec.ID
 	w.ordered[h.name] = true
-	m.call(Call{Kind: CallUpkeepHost, Timeout: hostCallTimeout, Host: h.name, Wave: w.rec.ID}, pendingCall{host: h.name, wave: w.rec.ID}, now)
+	m.orderHost(h, Call{Kind: CallUpkeepHost, Wave: w.rec.ID}, now)
 }
 
 // isUrgent reports whether the wave would exceed its time limit if it waited
