Give capacity to the jobs that can still be in time, by forecasts of durations

Cause: under overload, and until moved hosts serve, waiting jobs got capacity by age as long as half of their estimated path fitted before their deadline.

Change: core/forecast predicts the duration of a step from the estimate, as far as estimates of the queue have proved useful, and the number of tasks. A job's deadline and its latest start follow from the forecasts and from what is done. Jobs that have begun and can be in time go first, then new ones by latest start with a margin of a fifth of their path, then the rest by age.

--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/core/forecast"
 	"laburnumdock/internal/core/jobs"
 )
 
@@ -133,6 +134,9 @@
 	waveRequests      map[int64][]uint64
 	registering       map[string]int64
 
+	// forecasts are the predictions of durations by queue.
+	forecasts map[string]*forecast.Durations
+
 	// pendingAdvice is the number of unanswered calls to the advisor.
 	pendingAdvice int
 
@@ -176,7 +180,7 @@
 		sessions: newSessionIndex(), pools: map[string]*pool{}, jobs: map[string]*job{}, runs: map[runKey]*run{},
 		pendingCalls: map[uint64]pendingCall{}, submitRequests: map[string][]uint64{}, cancelRequests: map[string][]uint64{},
 		configureRequests: map[uint64][]uint64{}, waveRequests: map[int64][]uint64{}, registering: map[string]int64{},
-		hosts: newHostInventory(), waves: map[int64]*wave{},
+		hosts: newHostInventory(), waves: map[int64]*wave{}, forecasts: map[string]*forecast.Durations{},
 	}
 	for _, e := range state.Executors() {
 		m.addSession(e, now)
--- /dev/null
+++ b/internal/core/manager/order.go
@@ -0,0 +1,203 @@
+package manager
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumdock/internal/core/forecast"
+	"laburnumdock/internal/core/jobs"
+)
+
+// This file decides in which order the jobs of a pool get capacity. It answers a
+// rise of demand: until moved hosts serve, or while all hosts together are too few,
+// more work waits than can be done in time. In the order of arrival every job then
+// starts when its slack is used up, and nearly all are late. Instead:
+//
+//   - A job that has begun and can still be in time goes first. Work that is half
+//     done earns nothing, and its next step must not wait behind new jobs.
+//   - Then come the jobs that can still be in time, the one whose latest start comes
+//     first before the others. Such a job needs a margin, because its tasks do not
+//     all start at once and forecasts err.
+//   - All others go last. They are worth little or nothing to their submitters.
+
+// stepProgress is what is foreseen and known of a step in the first occurrence.
+type stepProgress struct {
+	// predicted is the forecast of the step's duration.
+	predicted time.Duration
+	// longest is the duration of its longest run so far that was successful, and
+	// done the number of such runs.
+	longest time.Duration
+	done    int
+}
+
+// forecastOf returns the forecast of a queue's durations.
+func (m *Manager) forecastOf(queue string) *forecast.Durations {
+	d := m.forecasts[queue]
+	if d == nil {
+		d = &forecast.Durations{}
+		m.forecasts[queue] = d
+	}
+	return d
+}
+
+// forecastSteps predicts the durations of a job's steps.
+func (m *Manager) forecastSteps(j *job) {
+	durations := m.forecastOf(j.rec.Queue)
+	j.progress = make([]stepProgress, len(j.rec.Spec.Steps))
+	for s := range j.rec.Spec.Steps {
+		step := &j.rec.Spec.Steps[s]
+		j.progress[s].predicted = durations.Predict(step.Estimate, step.Count)
+	}
+}
+
+// recordDuration passes the duration of a successful run to the statistics of its
+// pool and, with the last task of a step, of its queue.
+func (m *Manager) recordDuration(r *run, took time.Duration) {
+	r.job.pool.sizing.recordDuration(took, r.step.Estimate)
+	if r.key.task.Occurrence != 0 || r.step.LongRunning {
+		return
+	}
+	p := &r.job.progress[r.key.task.Step]
+	p.longest = max(p.longest, took)
+	if p.done++; p.done == r.step.Count {
+		m.forecastOf(r.job.rec.Queue).Observe(r.step.Estimate, r.step.Count, p.longest)
+	}
+}
+
+// updateDeadline computes the deadline and the latest start. The deadline is the
+// critical path multiplied by the queue's slack factor, plus the queue's target,
+// after submission. Steps that are done count with the duration that they had.
+func (j *job) updateDeadline() {
+	slack, target := 1.0, time.Duration(0)
+	if j.queue != nil {
+		slack, target = max(j.queue.SlackFactor, 1), time.Duration(j.queue.Target)*time.Millisecond
+	}
+	whole := j.criticalPath(func(step int, done bool) time.Duration {
+		if p := j.progress[step]; done && p.longest > 0 {
+			return p.longest
+		}
+		return j.progress[step].predicted
+	})
+	left := j.criticalPath(func(step int, done bool) time.Duration {
+		if done {
+			return 0
+		}
+		return j.progress[step].predicted
+	})
+	j.deadline = j.submittedAt.Add(time.Duration(slack*float64(whole)) + target)
+	j.latestStart = j.deadline.Add(-left)
+}
+
+// criticalPath returns the length of the critical path through the steps of the
+// first occurrence, with the given length of each step.
+func (j *job) criticalPath(length func(step int, done bool) time.Duration) time.Duration {
+	if len(j.rec.Steps) == 0 {
+		return 0
+	}
+	ends := make([]time.Duration, len(j.rec.Spec.Steps))
+	longest := time.Duration(0)
+	for s := range j.rec.Spec.Steps {
+		start := time.Duration(0)
+		for _, earlier := range j.rec.Spec.Steps[s].After {
+			start = max(start, ends[earlier])
+		}
+		ends[s] = start + length(s, j.rec.Steps[0][s].TasksLeft == 0)
+		longest = max(longest, ends[s])
+	}
+	return longest
+}
+
+// timeliness classifies a job by whether it can still meet its deadline.
+type timeliness uint8
+
+// The classes of timeliness. A late job is worth little to its submitter and
+// one that is far too late nothing; it is still finished.
+const (
+	onTime timeliness = iota
+	late
+	tooLate
+)
+
+const (
+	// startMargin is the share of a job's remaining path that must be left before its
+	// latest start for new work on it to begin in time. At its latest start, half of
+	// the jobs would be late.
+	startMargin = 0.2
+	// finishAllowance is the share of the remaining path by which a job that has begun
+	// may have missed its latest start and still counts as on time: what is left of
+	// it is a part of its work, for the worth of the whole.
+	finishAllowance = 0.3
+)
+
+// lateFactor is the multiple of the time to a job's deadline up to which a late job
+// is worth something to its submitter.
+const lateFactor = 3
+
+// timeliness classifies the job by its latest start.
+func (j *job) timeliness(now time.Time) timeliness {
+	worthless := j.latestStart.Add((lateFactor - 1) * j.deadline.Sub(j.submittedAt))
+	share := -startMargin
+	if j.hasBegun() {
+		share = finishAllowance
+	}
+	limit := j.latestStart.Add(time.Duration(share * float64(j.deadline.Sub(j.latestStart))))
+	switch {
+	case !now.After(limit):
+		return onTime
+	case now.After(worthless):
+		return tooLate
+	default:
+		return late
+	}
+}
+
+// hasBegun reports whether a task of the job has started.
+func (j *job) hasBegun() bool { return j.rec.Phase == jobs.PhaseRunning }
+
+// waitingJob is a job with tasks that wait for a run.
+type waitingJob struct {
+	job        *job
+	timeliness timeliness
+}
+
+// waitingJobs returns the jobs with waiting tasks in scheduling order.
+func (p *pool) waitingJobs(now time.Time) []waitingJob {
+	var list []waitingJob
+	for _, j := range p.jobs {
+		if j.waitingTasks > 0 && !j.rec.Phase.IsFinal() {
+			list = append(list, waitingJob{j, j.timeliness(now)})
+		}
+	}
+	slices.SortFunc(list, compareJobs)
+	return list
+}
+
+// compareJobs gives the scheduling order of a pool's jobs: long-running ones first,
+// then by priority and timeliness. Of those on time the ones that have begun come
+// first, then the order is that of their latest starts. The others go by age.
+func compareJobs(a, b waitingJob) int {
+	if a.job.longRunning != b.job.longRunning {
+		if a.job.longRunning {
+			return -1
+		}
+		return 1
+	}
+	order := cmp.Or(cmp.Compare(a.job.priority(), b.job.priority()), cmp.Compare(a.timeliness, b.timeliness))
+	if order == 0 && a.timeliness == onTime {
+		if a.job.hasBegun() != b.job.hasBegun() {
+			if a.job.hasBegun() {
+				return -1
+			}
+			return 1
+		}
+		order = a.job.latestStart.Compare(b.job.latestStart)
+	}
+	return cmp.Or(order, cmp.Compare(a.job.rec.Seq, b.job.rec.Seq))
+}
+
+// hasLongRunningStep reports whether a step of the job runs until the job is
+// cancelled.
+func hasLongRunningStep(spec *jobs.Spec) bool {
+	return slices.ContainsFunc(spec.Steps, func(s jobs.Step) bool { return s.LongRunning })
+}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -233,7 +233,7 @@
 	}
 	m.logEvent(Event{Kind: EventRunEnded, Job: e.Task.Job, Task: e.Task, Run: e.Run, Executor: r.session.rec.ID, Pool: r.job.pool.name, Reason: e.Result.String(), Age: now.Sub(r.stateSince)})
 	if e.Result == jobs.ResultDone && !r.orderedAt.IsZero() {
-		r.job.pool.sizing.recordDuration(r.stateSince.Sub(r.orderedAt), r.step.Estimate)
+		m.recordDuration(r, r.stateSince.Sub(r.orderedAt))
 	}
 	if e.Result == jobs.ResultFailed {
 		r.job.task(e.Task).avoid(e.Executor)
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -1,7 +1,6 @@
 package manager
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -46,18 +45,17 @@
 	longRunning bool
 	// submittedAt is the submission time on this leader's clock.
 	submittedAt time.Time
-	// deadline is the time after which the job is late, from the submitter's
-	// estimates.
-	deadline time.Time
-	tasks    [][][]taskState
-	runs     map[runKey]*run
+	// deadline is the time after which the job is late, and latestStart the time by
+	// which the rest of it must start to meet it, both as far as can be foreseen.
+	deadline    time.Time
+	latestStart time.Time
+	progress    []stepProgress
+	tasks       [][][]taskState
+	runs        map[runKey]*run
 	// waitingTasks is the number of tasks that wait for a run, including those
 	// that may not start yet.
 	waitingTasks int
 	finished     bool
-	// criticalPathLeft is the length of the critical path through the steps
-	// that are not done, in milliseconds of the submitter's estimates.
-	criticalPathLeft int64
 	// advice holds the advisor's answers by step.
 	advice map[stepKey]*advice
 }
@@ -109,10 +107,10 @@
 			j.tasks[occ][s] = make([]taskState, len(steps[s].Tasks))
 		}
 	}
-	j.recount()
 	m.jobs[rec.ID] = j
 	m.assignPool(j)
-	j.deadline = j.computeDeadline()
+	m.forecastSteps(j)
+	j.recount()
 	return j
 }
 
@@ -151,43 +149,11 @@
 	}
 }
 
-// computeDeadline returns the time after which the job is late: its critical
-// path multiplied by the queue's slack factor, plus the queue's target, after
-// submission.
-func (j *job) computeDeadline() time.Time {
-	slack, target := 1.0, int64(0)
-	if j.queue != nil {
-		slack, target = max(j.queue.SlackFactor, 1), j.queue.Target
-	}
-	path := float64(j.criticalPath(0)) * slack
-	return j.submittedAt.Add(time.Duration(path+float64(target)) * time.Millisecond)
-}
-
-// criticalPath returns the length of the critical path through the steps of an
-// occurrence that are not done, in milliseconds of the submitter's estimates.
-func (j *job) criticalPath(occurrence int) int64 {
-	ends := make([]int64, len(j.rec.Spec.Steps))
-	longest := int64(0)
-	for s := range j.rec.Spec.Steps {
-		step := &j.rec.Spec.Steps[s]
-		start := int64(0)
-		for _, earlier := range step.After {
-			start = max(start, ends[earlier])
-		}
-		ends[s] = start
-		if j.rec.Steps[occurrence][s].TasksLeft > 0 {
-			ends[s] += step.Estimate
-		}
-		longest = max(longest, ends[s])
-	}
-	return longest
-}
-
-// recount updates the number of waiting tasks and the rest of the critical
-// path.
+// recount updates the number of waiting tasks and the times that follow from the
+// steps that are done.
 func (j *job) recount() {
 	j.waitingTasks = 0
-	j.criticalPathLeft = j.criticalPath(0)
+	j.updateDeadline()
 	for occ, steps := range j.rec.Steps {
 		for s := range steps {
 			for i := range steps[s].Tasks {
@@ -242,83 +208,6 @@
 	}
 }
 
-// waitingJob is a job with tasks that wait for a run.
-type waitingJob struct {
-	job        *job
-	timeliness timeliness
-}
-
-// waitingJobs returns the jobs with waiting tasks in scheduling order.
-func (p *pool) waitingJobs(now time.Time) []waitingJob {
-	var list []waitingJob
-	for _, j := range p.jobs {
-		if j.waitingTasks > 0 && !j.rec.Phase.IsFinal() {
-			list = append(list, waitingJob{j, j.timeliness(now)})
-		}
-	}
-	slices.SortFunc(list, compareJobs)
-	return list
-}
-
-// compareJobs gives the scheduling order of a pool's jobs: long-running ones
-// first, then by priority, by timeliness and by age.
-func compareJobs(a, b waitingJob) int {
-	if a.job.longRunning != b.job.longRunning {
-		if a.job.longRunning {
-			return -1
-		}
-		return 1
-	}
-	if pa, pb := a.job.priority(), b.job.priority(); pa != pb {
-		return pa - pb
-	}
-	if a.timeliness != b.timeliness {
-		return int(a.timeliness) - int(b.timeliness)
-	}
-	return cmp.Compare(a.job.rec.Seq, b.job.rec.Seq)
-}
-
-// hasLongRunningStep reports whether a step of the job runs until the job is
-// cancelled.
-func hasLongRunningStep(spec *jobs.Spec) bool {
-	return slices.ContainsFunc(spec.Steps, func(s jobs.Step) bool { return s.LongRunning })
-}
-
-// timeliness classifies a job by whether it can still meet its deadline.
-type timeliness uint8
-
-// The classes of timeliness. A late job is worth little to its submitter and
-// one that is far too late nothing; it is still finished.
-const (
-	onTime timeliness = iota
-	late
-	tooLate
-)
-
-const (
-	// lateFactor is the multiple of the time to a job's deadline up to which a
-	// late job is worth something to its submitter.
-	lateFactor = 3
-	// onTimeShare is the share of the remaining critical path that must fit
-	// before the deadline for the job to count as on time. Estimates are rough,
-	// and a job that is given up too early is lost.
-	onTimeShare = 0.5
-)
-
-// timeliness classifies the job by its deadline and the estimates of the
-// remaining work.
-func (j *job) timeliness(now time.Time) timeliness {
-	remaining := time.Duration(onTimeShare*float64(j.criticalPathLeft)) * time.Millisecond
-	switch {
-	case !now.Add(remaining).After(j.deadline):
-		return onTime
-	case now.Add(remaining).After(j.submittedAt.Add(lateFactor * j.deadline.Sub(j.submittedAt))):
-		return tooLate
-	default:
-		return late
-	}
-}
-
 // priority returns the priority of the job's queue; 0 is the highest.
 func (j *job) priority() int {
 	if j.queue == nil {
