--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -123,6 +123,20 @@
 	s.t.Cleanup(func() { s.kill(url) })
 }
 
+// startFive starts the seeds and two further replicas of a new cell, waits until all
+// are voters and returns their URLs.
+func (s *testCell) startFive() []string {
+	urls := append([]string{}, s.seeds...)
+	for range 2 {
+		urls = append(urls, s.addNode())
+	}
+	for _, url := range urls {
+		s.start(url, true)
+	}
+	s.waitForVoters(urls...)
+	return urls
+}
+
 // kill stops a replica at once, as a crash does.
 func (s *testCell) kill(url string) {
 	n := s.nodes[url]
@@ -206,14 +220,7 @@
 // that lost its disk vote under its old ID.
 func TestCellBootstrapsAndReplacesLostReplica(t *testing.T) {
 	s := newTestCell(t, 3)
-	urls := append([]string{}, s.seeds...)
-	for range 2 {
-		urls = append(urls, s.addNode())
-	}
-	for _, url := range urls {
-		s.start(url, true)
-	}
-	s.waitForVoters(urls...)
+	urls := s.startFive()
 	client := s.client()
 	require.Equal(t, manager.ReplyNoConfig, mustRequest(t, client, manager.Request{Kind: manager.RequestPending, Host: "h", Path: "/q/"}).Kind)
 	require.Equal(t, manager.ReplyAccepted, mustRequest(t, client, manager.Request{Kind: manager.RequestConfigure, Config: testConfig}).Kind)
@@ -272,14 +279,7 @@
 // two disks after the replacement leaves no quorum.
 func TestCellBearsLossOfTwoDisksAfterReplacement(t *testing.T) {
 	s := newTestCell(t, 3)
-	urls := append([]string{}, s.seeds...)
-	for range 2 {
-		urls = append(urls, s.addNode())
-	}
-	for _, url := range urls {
-		s.start(url, true)
-	}
-	s.waitForVoters(urls...)
+	urls := s.startFive()
 	client := s.client()
 	require.Equal(t, manager.ReplyAccepted, mustRequest(t, client, manager.Request{Kind: manager.RequestConfigure, Config: testConfig}).Kind)
 
