Give up tasks that crash the executors that start them

A task that crashes each executor that starts it was started without end, and with it all tasks that were waiting beside it, together on the next executor.

A crash is blamed on the runs that had not proved themselves by being listed some time after their start. Such a task starts again on an executor without other unproven runs, and nothing else starts there until it has proved itself. An executor ends when another one answers on its host: where that one was moved at once, the crash was only seen as a lapse.

Listed runs that the leader has no record of now count towards the capacity of their executor.

--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -81,6 +81,8 @@
 	// leader concluded it. Ends of one executor are recorded in the order of
 	// their numbers.
 	Number int64 `cbor:"6,keyasint,omitempty"`
+	// Evidence says whether the task may have crashed the executor.
+	Evidence CrashEvidence `cbor:"7,keyasint,omitempty"`
 }
 
 // RegisterExecutor records a new executor incarnation if its number is 0, and a
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -36,8 +36,13 @@
 	Done       bool   `cbor:"3,keyasint,omitempty"`
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
 	Runs       []Run  `cbor:"5,keyasint,omitempty"`
+	// Crashes is nil unless executors were lost under the task.
+	Crashes *Crashes `cbor:"6,keyasint,omitempty"`
 }
 
+// IsSuspect reports whether the task may crash the executors that start it.
+func (t *Task) IsSuspect() bool { return t.Crashes != nil && t.Crashes.IsSuspect() }
+
 // StepRecord is the record of one step in one occurrence. TasksLeft is the
 // number of tasks that are not done.
 type StepRecord struct {
@@ -380,6 +385,10 @@
 	if j.Phase.IsFinal() {
 		return
 	}
+	if isLive && task.recordCrash(e.Evidence, step) && !task.Done {
+		j.finish(PhaseFailed)
+		return
+	}
 	switch e.Result {
 	case ResultDone:
 		if isLive && !step.LongRunning {
@@ -394,6 +403,25 @@
 	}
 }
 
+// recordCrash records the evidence of a run and reports whether the task has
+// crashed so many executors that it is given up.
+func (t *Task) recordCrash(e CrashEvidence, step *Step) bool {
+	if e == 0 {
+		return false
+	}
+	// Snapshots share the old value.
+	var next Crashes
+	if t.Crashes != nil {
+		next = *t.Crashes
+	}
+	next.record(e)
+	t.Crashes = nil
+	if next != (Crashes{}) {
+		t.Crashes = &next
+	}
+	return next.mustGiveUp(step.LongRunning)
+}
+
 // failureCount returns the number of failed runs of a task, or of its whole
 // gang.
 func (j *Job) failureCount(ref TaskRef, step *Step) int {
--- /dev/null
+++ b/internal/core/manager/crash.go
@@ -0,0 +1,201 @@
+package manager
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"laburnumdock/internal/core/jobs"
+)
+
+// This file decides which task has crashed an executor, and how its next start is
+// kept apart. It answers tasks that crash each executor that starts them: without
+// it, such a task and all that were waiting beside it start together on the next
+// executor, again and again.
+//
+//   - A crash is blamed on the runs that had not proved themselves. That is a few of
+//     those on the executor, because a run proves itself within a moment.
+//   - A blamed task starts again on an executor without other unproven runs, and no
+//     other task starts there until it has proved itself. If the executor crashes
+//     again, the task is the cause.
+//   - The records count the crashes, so that the count outlives the leader, and fail
+//     the job once there are too many.
+
+const (
+	// provingTime is the time after its start at which a run must be listed to have
+	// proved itself. It is far above a round trip and below the duration of a task.
+	provingTime = 100 * time.Millisecond
+	// suspectProvingTime is the same time for a task that is suspect.
+	suspectProvingTime = 300 * time.Millisecond
+	// survivalTime is the time for which a run must be active so that earlier crashes
+	// are no longer held against its task. Executors that fail by themselves are
+	// seldom the same task's twice within it.
+	survivalTime = 10 * time.Second
+	// maxProbationShare is the share of a pool's executors on which suspect tasks may
+	// start at the same time, so that a rack that crashes under many tasks does not
+	// hold up the whole pool.
+	maxProbationShare = 0.5
+	// brokenCallTime is the time within which a call without an answer must fail to
+	// count as broken off by the executor. A call to a host that is down or cut off
+	// runs into its timeout.
+	brokenCallTime = callTimeout / 2
+)
+
+// markStarted notes that the run has started by the given time.
+func (r *run) markStarted(at time.Time) {
+	if r.startedBy.IsZero() {
+		r.startedBy = at
+	}
+}
+
+// markListed notes that the executor listed the run, and lets the run prove itself.
+func (r *run) markListed(now time.Time) {
+	r.listedAt = now
+	needed := provingTime
+	if r.suspect {
+		needed = suspectProvingTime
+	}
+	if r.proven || now.Sub(r.startedBy) < needed {
+		return
+	}
+	r.session.countRun(r, -1)
+	r.proven = true
+	r.session.countRun(r, 1)
+	if r.suspect {
+		r.job.pool.requestPass()
+	}
+}
+
+// hasSurvived reports whether the run was active for so long that its task does not
+// crash executors.
+func (r *run) hasSurvived() bool {
+	return !r.startedBy.IsZero() && r.listedAt.Sub(r.startedBy) >= survivalTime
+}
+
+// crashEvidence returns what the end of a run says about its task.
+func (m *Manager) crashEvidence(r *run, result jobs.RunResult) jobs.CrashEvidence {
+	switch {
+	case r.hasSurvived():
+		if task, _ := r.job.rec.Task(r.key.task); task != nil && task.Crashes != nil {
+			return jobs.Survived
+		}
+		return 0
+	case result == jobs.ResultGone && r.session.crashed:
+		return r.evidenceOfCrash()
+	case result == jobs.ResultLapsed && !r.proven && !r.session.lastAnswerAt.After(r.orderedAt.Add(provingTime)):
+		// The executor has been silent since the start, or since the leader changed.
+		return jobs.LostAtStart
+	default:
+		return 0
+	}
+}
+
+// evidenceOfCrash returns what the crash of the run's executor says about its task.
+func (r *run) evidenceOfCrash() jobs.CrashEvidence {
+	switch {
+	case r.proven && r.session.crashedAtStart:
+		// A run that had not proved itself is the likely cause.
+		return 0
+	case r.proven:
+		return jobs.CrashedLater
+	case r.mayHaveStarted():
+		return jobs.CrashedAtStart
+	default:
+		// The start had no answer, or an earlier leader ordered it.
+		return jobs.LostAtStart
+	}
+}
+
+// mayHaveStarted reports whether the run has probably started: its start was
+// answered, or the connection broke while the executor had it.
+func (r *run) mayHaveStarted() bool { return !r.startedBy.IsZero() || r.startBroken }
+
+// noteCrash notes that the incarnation has crashed, and whether a run that had not
+// proved itself is the likely cause.
+func (s *session) noteCrash() {
+	s.crashed = true
+	for _, r := range s.runs {
+		if !r.proven && r.mayHaveStarted() {
+			s.crashedAtStart = true
+		}
+	}
+}
+
+// isPlannedEnd reports whether the end of the executor was announced or ordered.
+func (m *Manager) isPlannedEnd(s *session, now time.Time) bool {
+	if s.draining {
+		return true
+	}
+	h := m.hosts.byName[s.rec.Host]
+	if h == nil {
+		return false
+	}
+	isInherited := h.inherited != nil && !s.knownSince.After(m.startedAt)
+	return h.orderedAt.After(s.knownSince) || isInherited && now.Sub(m.startedAt) < m.cfg.HostLease+max(m.cfg.MoveTime, m.cfg.UpkeepTime)
+}
+
+// endPredecessors concludes that the other executors on the host have ended, since
+// a host runs one at a time and this one has answered a call that was sent after
+// they were last heard of.
+func (m *Manager) endPredecessors(s *session, sentAt, now time.Time) {
+	if s.rec.Host == "" {
+		return
+	}
+	for _, o := range slices.Clone(m.sessions.byHost[s.rec.Host]) {
+		if o != s && o.knownSince.Before(sentAt) && o.lastAnswerAt.Before(sentAt) {
+			m.endSession(o, reasonHostReplaced, now)
+		}
+	}
+}
+
+// isKeptApart reports whether nothing else may start on an executor for now, because
+// a suspect task has started there or will.
+func (p *pass) isKeptApart(s *session) bool {
+	return s.suspects > 0 || slices.Contains(p.held, s)
+}
+
+// limitProbation sets how many suspect tasks may start in the pass.
+func (p *pass) limitProbation() {
+	p.maxOnProbation = int(math.Ceil(maxProbationShare * float64(len(p.schedulable))))
+	for _, s := range p.schedulable {
+		if s.suspects > 0 {
+			p.onProbation++
+		}
+	}
+}
+
+// findForSuspect returns the executor for a task that is suspect, or nil. It prefers
+// the one that would lose the least with a crash. If all that have capacity have unproven
+// runs, the one with the fewest of them takes no other task in this pass, so that
+// the suspect can start soon.
+func (p *pass) findForSuspect(j *job, ref jobs.TaskRef, step *jobs.Step, task *taskState) *session {
+	if p.onProbation >= p.maxOnProbation {
+		return nil
+	}
+	var best, next *session
+	for _, s := range p.schedulable {
+		if !p.canRun(j, ref, step, s) || slices.Contains(task.avoided, s.rec.Number) {
+			continue
+		}
+		switch {
+		case s.unproven > 0:
+			if next == nil || s.unproven < next.unproven {
+				next = s
+			}
+		case best == nil || s.longRunning < best.longRunning || s.longRunning == best.longRunning && len(s.runs) < len(best.runs):
+			best = s
+		}
+	}
+	switch {
+	case best != nil:
+		p.onProbation++
+	case next != nil:
+		p.held = append(p.held, next)
+		p.onProbation++
+	default:
+		// Every executor is full or avoided. The next pass may use the avoided ones
+		// again; otherwise the task would never run.
+		task.avoided = nil
+	}
+	return best
+}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -109,9 +109,21 @@
 	s.draining = e.Draining
 }
 
-// reasonRestarted is the reason given when an incarnation has ended because a
-// newer one answers under the same ID.
-const reasonRestarted = "executor restarted"
+const (
+	// reasonRestarted is the reason given when an incarnation has ended because a
+	// newer one answers under the same ID.
+	reasonRestarted = "executor restarted"
+	// reasonReplaced and reasonHostReplaced are the reasons given when one with
+	// another ID answers at its address or on its host.
+	reasonReplaced     = "another executor answers at the address"
+	reasonHostReplaced = "another executor answers on the host"
+)
+
+// isUnannounced reports whether an incarnation that ended for the reason may have
+// crashed.
+func isUnannounced(reason string) bool {
+	return reason == reasonRestarted || reason == reasonReplaced || reason == reasonHostReplaced
+}
 
 // endSession concludes that an incarnation has ended, so that none of its runs
 // is active. An order still in transit names the executor and not the
@@ -122,6 +134,9 @@
 		return
 	}
 	s.ended = true
+	if isUnannounced(reason) && !m.isPlannedEnd(s, now) {
+		s.noteCrash()
+	}
 	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
 	m.pool(s.rec.Pool).removeSession(s)
 	for _, r := range s.sortedRuns(nil) {
@@ -260,6 +275,8 @@
 	switch {
 	case !s.confirmed || s.failures > 0 || s.hasUncertainRun():
 		return 0
+	case s.suspects > 0:
+		return suspectProvingTime
 	case len(s.runs) == 0:
 		return idleHoldWait
 	case s.pacer.isActive:
@@ -324,6 +341,7 @@
 	}
 	if !s.confirmed {
 		s.confirm()
+		m.endPredecessors(s, sentAt, now)
 		m.requestPasses()
 	}
 	m.recordEnds(s, o.Ended, now)
@@ -344,7 +362,7 @@
 		s.failures++
 		return false
 	case WrongInstance:
-		m.endSession(s, "another executor answers at the address", now)
+		m.endSession(s, reasonReplaced, now)
 		return false
 	default:
 	}
@@ -353,7 +371,7 @@
 		return false
 	}
 	s.readClock(o.Clock, o.AnsweredAt)
-	s.lastHeardAt = now
+	s.lastHeardAt, s.lastAnswerAt = now, now
 	if s.failures > 0 {
 		s.failures = 0
 		m.logEvent(Event{Kind: EventExecutorAnswers, Executor: s.rec.ID, Pool: s.rec.Pool})
@@ -375,10 +393,12 @@
 		if r == nil {
 			r = m.adoptRun(s, key, now)
 		}
-		m.propose(jobs.Command{EndRun: &jobs.EndRun{Task: e.Task, Run: e.Run, Executor: s.rec.Number, Result: e.How, Checkpoint: e.Saved, Number: e.Number}})
+		end := &jobs.EndRun{Task: e.Task, Run: e.Run, Executor: s.rec.Number, Result: e.How, Checkpoint: e.Saved, Number: e.Number}
 		if r != nil {
+			end.Evidence = m.crashEvidence(r, e.How)
 			r.setState(runEnded, now)
 		}
+		m.propose(jobs.Command{EndRun: end})
 	}
 }
 
@@ -387,6 +407,7 @@
 // sent.
 func (m *Manager) reconcileRuns(s *session, o Outcome, sentAt, now time.Time) {
 	listed := make(map[runKey]*RunningRow, len(o.Running))
+	foreign := jobs.Resources{}
 	for i := range o.Running {
 		row := &o.Running[i]
 		key := runKey{row.Task, row.Run}
@@ -399,8 +420,10 @@
 			m.handleListedRun(r, row, now)
 		} else {
 			m.stopOrphan(s, key, now)
+			foreign = foreign.Plus(m.foreignAllocation(s, row.Task))
 		}
 	}
+	s.foreign = foreign
 	for _, r := range s.sortedRuns(nil) {
 		if listed[r.key] == nil && r.stateSince.Before(sentAt) {
 			m.handleMissingRun(r, len(o.Ended) >= maxEndsListed, now)
@@ -410,8 +433,28 @@
 	m.adjustPace(s, now)
 }
 
+// foreignAllocation returns what a listed run that the leader has no record of
+// occupies. The demand of a job that has ended is not recorded any more: where the
+// executor does not guard its capacity, it counts as full until the run has gone.
+func (m *Manager) foreignAllocation(s *session, ref jobs.TaskRef) jobs.Resources {
+	if _, step := m.state.Task(ref); step != nil {
+		return step.Allocation()
+	}
+	if c := m.state.Config(); c != nil {
+		if p := c.Pool(s.rec.Pool); p != nil && !p.EnforcesCapacity {
+			return s.rec.Capacity
+		}
+	}
+	return jobs.Resources{}
+}
+
 // handleListedRun updates a run from the executor's list.
 func (m *Manager) handleListedRun(r *run, row *RunningRow, now time.Time) {
+	if r.state == runInherited {
+		r.markStarted(m.startedAt)
+	}
+	r.markStarted(now)
+	r.markListed(now)
 	switch r.state {
 	case runOrdered, runUncertain, runInherited, runBlocked:
 		r.setState(runActive, now)
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -98,6 +98,7 @@
 	EventHostMoved
 	EventRunPaced
 	EventRunStalled
+	EventTaskSuspected
 	EventLeaderFenced
 )
 
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -35,6 +35,9 @@
 		key: runKey{ref, number}, state: runProposed, job: j, step: step, session: s, allocation: step.Allocation(),
 		stateSince: now, pace: fullPercent,
 	}
+	if task, _ := j.rec.Task(ref); task != nil {
+		r.suspect = task.IsSuspect()
+	}
 	m.runs[r.key] = r
 	s.add(r)
 	j.task(ref).liveRuns++
@@ -63,7 +66,11 @@
 		return
 	}
 	r.setState(runEnded, now)
-	m.propose(jobs.Command{EndRun: &jobs.EndRun{Task: r.key.task, Run: r.key.run, Executor: r.session.rec.Number, Result: result, Checkpoint: r.checkpoint}})
+	end := &jobs.EndRun{Task: r.key.task, Run: r.key.run, Executor: r.session.rec.Number, Result: result, Checkpoint: r.checkpoint, Evidence: m.crashEvidence(r, result)}
+	if end.Evidence != 0 && end.Evidence != jobs.Survived {
+		m.logEvent(Event{Kind: EventTaskSuspected, Job: r.key.task.Job, Task: r.key.task, Run: r.key.run, Executor: r.session.rec.ID, Pool: r.session.rec.Pool, Reason: end.Evidence.String()})
+	}
+	m.propose(jobs.Command{EndRun: end})
 }
 
 // runBegun orders the start of a run whose BeginRun was applied.
@@ -107,6 +114,11 @@
 
 // startAnswered processes the answer to a start.
 func (m *Manager) startAnswered(s *session, r *run, o Outcome, now time.Time) {
+	if o.Verdict == WrongInstance && r.state == runOrdered && m.runs[r.key] == r {
+		// The session ends with this answer. Its other runs may have started there;
+		// this one has not.
+		m.concludeRun(r, jobs.ResultNotStarted, now)
+	}
 	m.recordAnswer(s, o, now)
 	if r.state != runOrdered || m.runs[r.key] != r {
 		return
@@ -114,6 +126,10 @@
 	switch o.Verdict {
 	case OK:
 		r.setState(runActive, now)
+		r.markStarted(now)
+		if r.suspect {
+			m.holdFor(s, suspectProvingTime, now)
+		}
 	case NotSent, WrongInstance:
 		m.concludeRun(r, jobs.ResultNotStarted, now)
 	case Unhealthy:
@@ -122,6 +138,7 @@
 	case Refused:
 		m.startRefused(s, r, o.Refusal, now)
 	case NoAnswer:
+		r.startBroken = now.Sub(r.orderedAt) < brokenCallTime
 		r.setState(runUncertain, now)
 		m.holdNow(s, now)
 	}
@@ -142,9 +159,12 @@
 
 // holdNow requests the lists of an executor even if an earlier hold has no
 // answer yet.
-func (m *Manager) holdNow(s *session, now time.Time) {
+func (m *Manager) holdNow(s *session, now time.Time) { m.holdFor(s, 0, now) }
+
+// holdFor does the same, and lets the executor wait for an end for the given time.
+func (m *Manager) holdFor(s *session, wait time.Duration, now time.Time) {
 	if !s.ended && s.proposedEnd <= s.rec.RecordedEnd {
-		m.hold(s, 0, now)
+		m.hold(s, wait, now)
 	}
 }
 
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -192,6 +192,11 @@
 	// unplaceable are allocations of unconstrained steps that no executor had
 	// capacity for. Equal or larger ones are not tried again in this pass.
 	unplaceable []jobs.Resources
+	// held are the executors that take no other task in this pass, so that a suspect
+	// task can start there soon. onProbation counts the executors that are kept apart
+	// for suspect tasks, and maxOnProbation limits them.
+	held                        []*session
+	onProbation, maxOnProbation int
 }
 
 func (m *Manager) schedulePool(p *pool, now time.Time) {
@@ -202,6 +207,7 @@
 			sp.schedulable = append(sp.schedulable, s)
 		}
 	}
+	sp.limitProbation()
 	for _, w := range p.waitingJobs(now) {
 		sp.placeJob(w.job)
 		p.hasWaiting = p.hasWaiting || w.job.waitingTasks > 0
@@ -251,6 +257,12 @@
 			continue
 		}
 		ref := jobs.TaskRef{Job: j.rec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}
+		if record.IsSuspect() {
+			if s := p.findForSuspect(j, ref, step, task); s != nil {
+				p.proposeRun(j, ref, record.LastRun+1, s)
+			}
+			continue
+		}
 		if s := p.findExecutor(j, ref, step, task); s != nil {
 			p.proposeRun(j, ref, record.LastRun+1, s)
 		} else if len(task.avoided) == 0 {
@@ -361,7 +373,7 @@
 
 // canRun reports whether an executor can run a task now.
 func (p *pass) canRun(j *job, ref jobs.TaskRef, step *jobs.Step, s *session) bool {
-	if !s.rec.HasLabel(step.Label) || !s.free().Fits(step.Allocation()) || s.health.isFull(p.now) {
+	if p.isKeptApart(s) || !s.rec.HasLabel(step.Label) || !s.free().Fits(step.Allocation()) || s.health.isFull(p.now) {
 		return false
 	}
 	if j.hasAdvisor() && j.ticket(ref, s.rec.ID) == "" {
--- a/internal/core/manager/session.go
+++ b/internal/core/manager/session.go
@@ -68,6 +68,16 @@
 	stopWanted  bool
 	stopPending bool
 	nextStop    time.Time
+	// suspect is set when the task may crash the executors that start it.
+	suspect bool
+	// startedBy is the time by which the run had started as far as known, and
+	// listedAt when the executor last listed it.
+	startedBy time.Time
+	listedAt  time.Time
+	// startBroken is set when the connection broke before the start was answered.
+	startBroken bool
+	// proven is set when the executor has listed the run some time after its start.
+	proven bool
 }
 
 // session is the leader's view of one executor incarnation. The manager owns
@@ -83,11 +93,21 @@
 	// that are to be stopped.
 	longRunning int
 	stopping    int
+	// unproven counts the runs that have not proved themselves, and suspects those
+	// of them whose task is suspect.
+	unproven int
+	suspects int
+	// foreign is the allocation of listed runs that the leader has no record of.
+	foreign jobs.Resources
 
 	confirmed bool
 	draining  bool
-	// ended is set when the incarnation has certainly ended.
-	ended bool
+	// ended is set when the incarnation has certainly ended, and crashed when it
+	// ended without an announcement or an order. crashedAtStart is set when a run had
+	// just started.
+	ended          bool
+	crashed        bool
+	crashedAtStart bool
 	// clock is the executor's clock in milliseconds. It was read at clockReadAt
 	// or before.
 	clock       int64
@@ -100,6 +120,8 @@
 	// an answer or a report last arrived.
 	knownSince  time.Time
 	lastHeardAt time.Time
+	// lastAnswerAt is when an answer to a call last arrived.
+	lastAnswerAt time.Time
 	// sequence is the sequence number of the newest report of this incarnation.
 	sequence int64
 
@@ -181,8 +203,11 @@
 	return s.confirmed && !s.draining && !s.ended && s.failures == 0 && s.reservedFor == actionNone && s.health.isTrusted(now)
 }
 
-// free returns the capacity that no run has allocated.
-func (s *session) free() jobs.Resources { return s.rec.Capacity.Minus(s.allocated) }
+// free returns the capacity that no run has allocated. It is negative after the
+// capacity has shrunk below what the runs have allocated.
+func (s *session) free() jobs.Resources {
+	return s.rec.Capacity.Minus(s.allocated).Minus(s.foreign)
+}
 
 func (s *session) add(r *run) {
 	s.runs[r.key] = r
@@ -197,6 +222,12 @@
 	if r.stopWanted {
 		s.stopping += by
 	}
+	if !r.proven {
+		s.unproven += by
+		if r.suspect {
+			s.suspects += by
+		}
+	}
 }
 
 func (s *session) remove(r *run) {
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -24,6 +24,7 @@
 	manager.EventHostMoved:          logevent.HostMoved,
 	manager.EventRunPaced:           logevent.RunPaced,
 	manager.EventRunStalled:         logevent.RunStalled,
+	manager.EventTaskSuspected:      logevent.TaskSuspected,
 	manager.EventLeaderFenced:       logevent.LeaderFenced,
 }
 
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -51,6 +51,7 @@
 	RunEnded           = Event{1205, "run_ended", logrus.InfoLevel, "run of a task has ended", "reason is the result, age_ms the time in its last state"}
 	RunPaced           = Event{1206, "run_paced", logrus.DebugLevel, "pace of a best-effort task is set", "none"}
 	RunStalled         = Event{1207, "run_stalled", logrus.WarnLevel, "run of a task makes no progress and is stopped", "the task starts elsewhere; check the executor"}
+	TaskSuspected      = Event{1208, "task_suspected", logrus.WarnLevel, "executor was lost under a task, which may have crashed it", "reason is the evidence; the task starts apart from others, and its job fails if it goes on"}
 	ExecutorJoined     = Event{1210, "executor_joined", logrus.InfoLevel, "executor is recorded", "none"}
 	ExecutorLeft       = Event{1211, "executor_left", logrus.InfoLevel, "executor incarnation has ended", "reason tells how the end was detected"}
 	ExecutorSilent     = Event{1212, "executor_silent", logrus.WarnLevel, "executor does not answer", "its tasks start elsewhere once their lease has ended"}
@@ -85,7 +86,7 @@
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
 		PeerUnreachable, LeadershipBegan, LeadershipEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
 		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved, MemberChangeWaits,
-		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled,
+		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
 		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced,
