Tell crashes from silence when a task is blamed for them

Losses are now counted by what is known: certain crashes at the start, losses at the start, losses soon after, and how many of them were crashes for certain. An executor that fell silent and turns out to have crashed is counted when another one answers in its place. A rack that falls silent as a whole is no task's doing. A task that loses executors later proves itself over 3 s instead of 0.3 s.

--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -13,6 +13,7 @@
 	RecordUpkeep     *RecordUpkeep     `cbor:"9,keyasint,omitempty"`
 	DeleteJob        *DeleteJob        `cbor:"10,keyasint,omitempty"`
 	RecordHostOrders *RecordHostOrders `cbor:"11,keyasint,omitempty"`
+	ConfirmCrash     *ConfirmCrash     `cbor:"12,keyasint,omitempty"`
 }
 
 // AcceptJob stores a submitted job. Repeating it for the same ID has no effect.
@@ -81,8 +82,16 @@
 	// leader concluded it. Ends of one executor are recorded in the order of
 	// their numbers.
 	Number int64 `cbor:"6,keyasint,omitempty"`
-	// Evidence says whether the task may have crashed the executor.
+	// Evidence says whether the task may have crashed the executor, and Crashed is set
+	// if the executor has crashed for certain.
 	Evidence CrashEvidence `cbor:"7,keyasint,omitempty"`
+	Crashed  bool          `cbor:"8,keyasint,omitempty"`
+}
+
+// ConfirmCrash records that an executor has crashed, whose silence was recorded as a
+// loss under the task.
+type ConfirmCrash struct {
+	Task TaskRef `cbor:"1,keyasint"`
 }
 
 // RegisterExecutor records a new executor incarnation if its number is 0, and a
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -260,6 +260,8 @@
 		return s.deleteJob(c.DeleteJob.ID)
 	case c.RecordHostOrders != nil:
 		return s.recordHostOrders(c.RecordHostOrders)
+	case c.ConfirmCrash != nil:
+		return s.confirmCrash(c.ConfirmCrash.Task)
 	}
 	return fault.New(fault.Internal, "command is empty or of an unknown kind")
 }
@@ -385,7 +387,7 @@
 	if j.Phase.IsFinal() {
 		return
 	}
-	if isLive && task.recordCrash(e.Evidence, step) && !task.Done {
+	if isLive && e.Evidence != 0 && task.recordCrash(e.Evidence, e.Crashed, step) {
 		j.finish(PhaseFailed)
 		return
 	}
@@ -403,25 +405,6 @@
 	}
 }
 
-// recordCrash records the evidence of a run and reports whether the task has
-// crashed so many executors that it is given up.
-func (t *Task) recordCrash(e CrashEvidence, step *Step) bool {
-	if e == 0 {
-		return false
-	}
-	// Snapshots share the old value.
-	var next Crashes
-	if t.Crashes != nil {
-		next = *t.Crashes
-	}
-	next.record(e)
-	t.Crashes = nil
-	if next != (Crashes{}) {
-		t.Crashes = &next
-	}
-	return next.mustGiveUp(step.LongRunning)
-}
-
 // failureCount returns the number of failed runs of a task, or of its whole
 // gang.
 func (j *Job) failureCount(ref TaskRef, step *Step) int {
--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -18,6 +18,8 @@
 //   - A blamed task starts again on an executor without other unproven runs, and no
 //     other task starts there until it has proved itself. If the executor crashes
 //     again, the task is the cause.
+//   - A task under which several executors crashed some time after its start proves
+//     itself over a longer time.
 //   - The records count the crashes, so that the count outlives the leader, and fail
 //     the job once there are too many.
 
@@ -27,6 +29,9 @@
 	provingTime = 100 * time.Millisecond
 	// suspectProvingTime is the same time for a task that is suspect.
 	suspectProvingTime = 300 * time.Millisecond
+	// lateProvingTime is the same time for a task under which executors crashed some
+	// time after its start. It is a few times the duration of a short task.
+	lateProvingTime = 3 * time.Second
 	// survivalTime is the time for which a run must be active so that earlier crashes
 	// are no longer held against its task. Executors that fail by themselves are
 	// seldom the same task's twice within it.
@@ -39,6 +44,9 @@
 	// count as broken off by the executor. A call to a host that is down or cut off
 	// runs into its timeout.
 	brokenCallTime = callTimeout / 2
+	// rackLossWindow is the time within which the leader notices the loss of an
+	// executor with runs.
+	rackLossWindow = busyHoldWait + callTimeout
 )
 
 // markStarted notes that the run has started by the given time.
@@ -51,11 +59,7 @@
 // markListed notes that the executor listed the run, and lets the run prove itself.
 func (r *run) markListed(now time.Time) {
 	r.listedAt = now
-	needed := provingTime
-	if r.suspect {
-		needed = suspectProvingTime
-	}
-	if r.proven || now.Sub(r.startedBy) < needed {
+	if r.proven || now.Sub(r.startedBy) < r.provingTime {
 		return
 	}
 	r.session.countRun(r, -1)
@@ -66,12 +70,36 @@
 	}
 }
 
+// setSuspect sets how long the run has to prove itself.
+func (r *run) setSuspect(task *jobs.Task) {
+	r.provingTime = provingTime
+	if task == nil || !task.IsSuspect() {
+		return
+	}
+	r.suspect, r.provingTime = true, suspectProvingTime
+	if task.Crashes.IsLate() {
+		r.provingTime = lateProvingTime
+	}
+}
+
 // hasSurvived reports whether the run was active for so long that its task does not
 // crash executors.
 func (r *run) hasSurvived() bool {
 	return !r.startedBy.IsZero() && r.listedAt.Sub(r.startedBy) >= survivalTime
 }
 
+// endCause is the cause of the end of an executor incarnation.
+type endCause uint8
+
+const (
+	// endPlanned means that the end was announced or ordered by this leader.
+	endPlanned endCause = iota
+	// endUncertain means that an order of an earlier leader may have caused it.
+	endUncertain
+	// endCrashed means that the executor has crashed.
+	endCrashed
+)
+
 // crashEvidence returns what the end of a run says about its task.
 func (m *Manager) crashEvidence(r *run, result jobs.RunResult) jobs.CrashEvidence {
 	switch {
@@ -80,28 +108,15 @@
 			return jobs.Survived
 		}
 		return 0
-	case result == jobs.ResultGone && r.session.crashed:
-		return r.evidenceOfCrash()
-	case result == jobs.ResultLapsed && !r.proven && !r.session.lastAnswerAt.After(r.orderedAt.Add(provingTime)):
-		// The executor has been silent since the start, or since the leader changed.
-		return jobs.LostAtStart
-	default:
-		return 0
-	}
-}
-
-// evidenceOfCrash returns what the crash of the run's executor says about its task.
-func (r *run) evidenceOfCrash() jobs.CrashEvidence {
-	switch {
-	case r.proven && r.session.crashedAtStart:
-		// A run that had not proved itself is the likely cause.
+	case result != jobs.ResultLapsed && (result != jobs.ResultGone || r.session.cause == endPlanned):
 		return 0
 	case r.proven:
-		return jobs.CrashedLater
-	case r.mayHaveStarted():
+		return jobs.LostLater
+	case r.mayHaveStarted() && r.session.cause == endCrashed && !r.session.rackLost:
 		return jobs.CrashedAtStart
 	default:
-		// The start had no answer, or an earlier leader ordered it.
+		// The start had no answer, an earlier leader ordered it, the executor fell
+		// silent, or its rack failed.
 		return jobs.LostAtStart
 	}
 }
@@ -110,28 +125,53 @@
 // answered, or the connection broke while the executor had it.
 func (r *run) mayHaveStarted() bool { return !r.startedBy.IsZero() || r.startBroken }
 
-// noteCrash notes that the incarnation has crashed, and whether a run that had not
-// proved itself is the likely cause.
-func (s *session) noteCrash() {
-	s.crashed = true
-	for _, r := range s.runs {
-		if !r.proven && r.mayHaveStarted() {
-			s.crashedAtStart = true
+// noteRackLoss marks the executors of a rack if all of them fell silent at about the
+// same time, which no task causes.
+func (m *Manager) noteRackLoss(s *session) {
+	if s.rec.Rack == "" {
+		return
+	}
+	var lost []*session
+	for _, o := range m.sessions.sorted {
+		switch {
+		case o.rec.Rack != s.rec.Rack || o.ended && o.cause != endCrashed:
+		case o.failures == 0 && !o.ended:
+			return
+		case s.failingSince.Sub(o.failingSince) <= rackLossWindow:
+			lost = append(lost, o)
 		}
 	}
+	if len(lost) < 2 {
+		return
+	}
+	for _, o := range lost {
+		o.rackLost = true
+	}
 }
 
-// isPlannedEnd reports whether the end of the executor was announced or ordered.
-func (m *Manager) isPlannedEnd(s *session, now time.Time) bool {
-	if s.draining {
-		return true
-	}
+// causeOfEnd returns the cause of the end of an executor in whose place another one
+// answers.
+func (m *Manager) causeOfEnd(s *session, now time.Time) endCause {
 	h := m.hosts.byName[s.rec.Host]
-	if h == nil {
-		return false
+	switch {
+	case s.draining || h != nil && h.orderedAt.After(s.knownSince):
+		return endPlanned
+	case h != nil && h.inherited != nil && !s.knownSince.After(m.startedAt) && now.Sub(m.startedAt) < m.cfg.HostLease+max(m.cfg.MoveTime, m.cfg.UpkeepTime):
+		return endUncertain
+	default:
+		return endCrashed
+	}
+}
+
+// confirmCrashes proposes to record that the executor has crashed under the tasks
+// whose runs had lapsed before.
+func (m *Manager) confirmCrashes(s *session) {
+	if s.cause == endCrashed {
+		for _, ref := range s.silentTasks {
+			m.propose(jobs.Command{ConfirmCrash: &jobs.ConfirmCrash{Task: ref}})
+		}
 	}
-	isInherited := h.inherited != nil && !s.knownSince.After(m.startedAt)
-	return h.orderedAt.After(s.knownSince) || isInherited && now.Sub(m.startedAt) < m.cfg.HostLease+max(m.cfg.MoveTime, m.cfg.UpkeepTime)
+	s.silentTasks = nil
 }
 
 // endPredecessors concludes that the other executors on the host have ended, since
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -46,9 +46,12 @@
 		s.draining = true
 		m.requestPasses()
 	}
-	if next := r.executor(known.Number); hasChanged(known, &next) {
-		m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
+	next := r.executor(known.Number)
+	if !hasChanged(known, &next) {
+		s.describedAt = now
+		return
 	}
+	m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
 }
 
 // registerNew proposes the record of an unknown incarnation.
@@ -77,7 +80,7 @@
 		return
 	}
 	if n := reg.Executor.Number; n > 0 {
-		m.executorChanged(m.sessions.get(n), m.state.Executor(n))
+		m.executorChanged(m.sessions.get(n), m.state.Executor(n), now)
 		return
 	}
 	e := m.state.ExecutorByID(reg.Executor.ID)
@@ -87,6 +90,7 @@
 	}
 	m.logEvent(Event{Kind: EventExecutorJoined, Executor: e.ID, Pool: e.Pool, Host: e.Host, Reason: e.Address})
 	s := m.addSession(e, now)
+	s.describedAt = now
 	for _, old := range slices.Clone(m.sessions.sorted) {
 		if old != s && old.rec.ID == e.ID {
 			m.endSession(old, reasonRestarted, now)
@@ -97,7 +101,7 @@
 }
 
 // executorChanged updates the session after a changed description was recorded.
-func (m *Manager) executorChanged(s *session, e *jobs.Executor) {
+func (m *Manager) executorChanged(s *session, e *jobs.Executor, now time.Time) {
 	if s == nil || e == nil {
 		return
 	}
@@ -106,7 +110,7 @@
 		m.pool(e.Pool).addSession(s)
 	}
 	m.sessions.updateRecord(s, e)
-	s.draining = e.Draining
+	s.draining, s.describedAt = e.Draining, now
 }
 
 const (
@@ -119,9 +123,9 @@
 	reasonHostReplaced = "another executor answers on the host"
 )
 
-// isUnannounced reports whether an incarnation that ended for the reason may have
-// crashed.
-func isUnannounced(reason string) bool {
+// isReplaced reports whether another incarnation answers in the place of one that
+// ended for the reason.
+func isReplaced(reason string) bool {
 	return reason == reasonRestarted || reason == reasonReplaced || reason == reasonHostReplaced
 }
 
@@ -134,9 +138,10 @@
 		return
 	}
 	s.ended = true
-	if isUnannounced(reason) && !m.isPlannedEnd(s, now) {
-		s.noteCrash()
+	if isReplaced(reason) {
+		s.cause = m.causeOfEnd(s, now)
 	}
+	m.confirmCrashes(s)
 	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
 	m.pool(s.rec.Pool).removeSession(s)
 	for _, r := range s.sortedRuns(nil) {
@@ -359,7 +364,10 @@
 		if s.failures == 0 && !m.hosts.get(s.rec.Host).away {
 			m.logEvent(Event{Kind: EventExecutorSilent, Executor: s.rec.ID, Pool: s.rec.Pool, Reason: o.Verdict.String(), Age: now.Sub(s.lastHeardAt)})
 		}
-		s.failures++
+		if s.failures++; s.failures == 1 {
+			s.failingSince = now
+			m.noteRackLoss(s)
+		}
 		return false
 	case WrongInstance:
 		m.endSession(s, reasonReplaced, now)
@@ -373,7 +381,7 @@
 	s.readClock(o.Clock, o.AnsweredAt)
 	s.lastHeardAt, s.lastAnswerAt = now, now
 	if s.failures > 0 {
-		s.failures = 0
+		s.failures, s.rackLost = 0, false
 		m.logEvent(Event{Kind: EventExecutorAnswers, Executor: s.rec.ID, Pool: s.rec.Pool})
 		m.requestPasses()
 	}
@@ -395,7 +403,9 @@
 		}
 		end := &jobs.EndRun{Task: e.Task, Run: e.Run, Executor: s.rec.Number, Result: e.How, Checkpoint: e.Saved, Number: e.Number}
 		if r != nil {
-			end.Evidence = m.crashEvidence(r, e.How)
+			if r.hasSurvived() {
+				end.Evidence = m.crashEvidence(r, e.How)
+			}
 			r.setState(runEnded, now)
 		}
 		m.propose(jobs.Command{EndRun: end})
@@ -440,10 +450,8 @@
 	if _, step := m.state.Task(ref); step != nil {
 		return step.Allocation()
 	}
-	if c := m.state.Config(); c != nil {
-		if p := c.Pool(s.rec.Pool); p != nil && !p.EnforcesCapacity {
-			return s.rec.Capacity
-		}
+	if m.isUnguarded(s) {
+		return s.rec.Capacity
 	}
 	return jobs.Resources{}
 }
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -35,9 +35,8 @@
 		key: runKey{ref, number}, state: runProposed, job: j, step: step, session: s, allocation: step.Allocation(),
 		stateSince: now, pace: fullPercent,
 	}
-	if task, _ := j.rec.Task(ref); task != nil {
-		r.suspect = task.IsSuspect()
-	}
+	task, _ := j.rec.Task(ref)
+	r.setSuspect(task)
 	m.runs[r.key] = r
 	s.add(r)
 	j.task(ref).liveRuns++
@@ -68,6 +67,10 @@
 	r.setState(runEnded, now)
 	end := &jobs.EndRun{Task: r.key.task, Run: r.key.run, Executor: r.session.rec.Number, Result: result, Checkpoint: r.checkpoint, Evidence: m.crashEvidence(r, result)}
 	if end.Evidence != 0 && end.Evidence != jobs.Survived {
+		end.Crashed = r.session.cause == endCrashed
+		if result == jobs.ResultLapsed {
+			r.session.silentTasks = append(r.session.silentTasks, r.key.task)
+		}
 		m.logEvent(Event{Kind: EventTaskSuspected, Job: r.key.task.Job, Task: r.key.task, Run: r.key.run, Executor: r.session.rec.ID, Pool: r.session.rec.Pool, Reason: end.Evidence.String()})
 	}
 	m.propose(jobs.Command{EndRun: end})
--- a/internal/core/manager/session.go
+++ b/internal/core/manager/session.go
@@ -68,8 +68,10 @@
 	stopWanted  bool
 	stopPending bool
 	nextStop    time.Time
-	// suspect is set when the task may crash the executors that start it.
-	suspect bool
+	// suspect is set when the task may crash the executors that start it, and
+	// provingTime is the time after its start at which the run must be listed.
+	suspect     bool
+	provingTime time.Duration
 	// startedBy is the time by which the run had started as far as known, and
 	// listedAt when the executor last listed it.
 	startedBy time.Time
@@ -102,12 +104,12 @@
 
 	confirmed bool
 	draining  bool
-	// ended is set when the incarnation has certainly ended, and crashed when it
-	// ended without an announcement or an order. crashedAtStart is set when a run had
-	// just started.
-	ended          bool
-	crashed        bool
-	crashedAtStart bool
+	// ended is set when the incarnation has certainly ended; cause says how.
+	ended bool
+	cause endCause
+	// silentTasks are the tasks whose runs have lapsed because the executor had fallen
+	// silent.
+	silentTasks []jobs.TaskRef
 	// clock is the executor's clock in milliseconds. It was read at clockReadAt
 	// or before.
 	clock       int64
@@ -124,12 +126,18 @@
 	lastAnswerAt time.Time
 	// sequence is the sequence number of the newest report of this incarnation.
 	sequence int64
+	// describedAt is when this leader last knew from a report that the record describes
+	// the executor.
+	describedAt time.Time
 
 	holdPending bool
 	holdSentAt  time.Time
 	nextHold    time.Time
-	// failures counts the unanswered calls in a row.
-	failures int
+	// failures counts the unanswered calls in a row, and failingSince is when the first
+	// of them failed. rackLost is set when the whole rack fell silent with it.
+	failures     int
+	failingSince time.Time
+	rackLost     bool
 	// proposedEnd is the number of the newest end whose record was proposed.
 	proposedEnd int64
 
@@ -203,6 +211,30 @@
 	return s.confirmed && !s.draining && !s.ended && s.failures == 0 && s.reservedFor == actionNone && s.health.isTrusted(now)
 }
 
+// maxReportAge is the number of report intervals for which a report shows the
+// capacity of an executor that does not guard it. One report may be lost.
+const maxReportAge = 2
+
+// knowsCapacity reports whether the capacity of an executor is known well enough for
+// a start. A capacity may shrink at any time, and an executor that does not guard it
+// starts whatever it is told to.
+func (m *Manager) knowsCapacity(s *session, now time.Time) bool {
+	if !m.isUnguarded(s) {
+		return true
+	}
+	return !s.describedAt.IsZero() && now.Sub(s.describedAt) <= maxReportAge*m.cfg.ReportInterval
+}
+
+// isUnguarded reports whether the executor starts what exceeds its capacity.
+func (m *Manager) isUnguarded(s *session) bool {
+	c := m.state.Config()
+	if c == nil {
+		return false
+	}
+	p := c.Pool(s.rec.Pool)
+	return p != nil && !p.EnforcesCapacity
+}
+
 // free returns the capacity that no run has allocated. It is negative after the
 // capacity has shrunk below what the runs have allocated.
 func (s *session) free() jobs.Resources {
