Let a job go on without a long-running task that is given up

The job now goes on without the task. Losses that had a likelier cause beside them are counted apart: they no longer keep the task apart, nor count for a long-running one. A batch task is given up after five losses of any kind.

--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -14,8 +14,10 @@
 	// only have been cut off, or may have crashed before the start reached it.
 	LostAtStart
 	// LostLater means that the executor crashed or fell silent soon after the run had
-	// proved itself. Most such losses have another cause.
+	// proved itself, with no other run on it that had not.
 	LostLater
+	// LostBeside means the same with such a run, which is the likelier cause.
+	LostBeside
 	// Survived means that the run was active for so long that earlier crashes had
 	// other causes.
 	Survived
@@ -23,7 +25,7 @@
 
 // String returns the name used in logs.
 func (e CrashEvidence) String() string {
-	names := [...]string{"none", "crashed_at_start", "lost_at_start", "lost_later", "survived"}
+	names := [...]string{"none", "crashed_at_start", "lost_at_start", "lost_later", "lost_beside", "survived"}
 	if int(e) < len(names) {
 		return names[e]
 	}
@@ -32,22 +34,21 @@
 
 const (
 	// maxCrashes is the number of executors that may certainly crash at the start of
-	// a task before its job fails. The second start is made apart from other unproven
-	// ones, so a second crash has no other likely cause. A long-running task meets
-	// more crashes by chance, and giving it up wrongly costs its submitter more.
-	maxCrashes            = 2
-	maxCrashesLongRunning = 3
-	// maxLosses is the same number with all losses included, of which minCertain must
-	// have been crashes for certain. The platform allows two starts after the third
-	// crash, and a change of the leader may hide one.
+	// a task before it is given up. The second start is made apart from other unproven
+	// ones, so a second crash has no other likely cause.
+	maxCrashes = 2
+	// maxLosses is the number of losses for which the task is the likeliest cause before
+	// it is given up. Of these, minCertain must have been crashes for certain.
 	maxLosses  = 4
 	minCertain = 2
-	// maxSilences is the same number where the executors only fell silent. It is as many
-	// as the platform allows.
-	maxSilences = 5
-	// suspectAfterLater is the number of later losses from which a task is suspect. A
-	// single one is most likely the doing of a task beside it.
-	suspectAfterLater = 2
+	// maxStarts is the number of starts that the platform allows in the worst case: two
+	// after the third crash. It bounds all losses, because executors that fell silent
+	// may all have crashed.
+	maxStarts = 5
+	// suspectAfterLater is the number of later losses from which a task is suspect,
+	// suspectAfterBeside the same with those included that had a likelier cause.
+	suspectAfterLater  = 2
+	suspectAfterBeside = 3
 )
 
 // Crashes counts the executors that were lost under a task since one of its runs
@@ -57,8 +58,10 @@
 	// certain crashes among them.
 	AtStart   int `cbor:"1,keyasint,omitempty"`
 	Confirmed int `cbor:"2,keyasint,omitempty"`
-	// Later counts the executors lost after the run had proved itself.
-	Later int `cbor:"3,keyasint,omitempty"`
+	// Later counts the executors lost after the run had proved itself, and Beside those
+	// of which another run was the likelier cause.
+	Later  int `cbor:"3,keyasint,omitempty"`
+	Beside int `cbor:"5,keyasint,omitempty"`
 	// Certain counts the crashes among all losses; the other executors may only have
 	// been cut off.
 	Certain int `cbor:"4,keyasint,omitempty"`
@@ -78,6 +81,8 @@
 		c.AtStart++
 	case LostLater:
 		c.Later++
+	case LostBeside:
+		c.Beside++
 	case Survived:
 		*c = Crashes{}
 	default:
@@ -90,19 +95,31 @@
 
 // IsLate reports whether the task is suspect because executors were lost some time
 // after its start.
-func (c Crashes) IsLate() bool { return c.Later >= suspectAfterLater }
+func (c Crashes) IsLate() bool {
+	return c.Later >= suspectAfterLater || c.Later+c.Beside >= suspectAfterBeside
+}
 
-// mustGiveUp reports whether the task may not be started again.
+// mustGiveUp reports whether the task may not be started again. None of the runs of a
+// long-running task may be missing for long without cause, and it meets more losses
+// by chance: those with a likelier cause don't count.
 func (c Crashes) mustGiveUp(longRunning bool) bool {
-	limit := maxCrashes
+	likely := c.AtStart + c.Later
+	all := likely + c.Beside
 	if longRunning {
-		limit = maxCrashesLongRunning
+		all = likely
 	}
-	losses := c.AtStart + c.Later
-	return c.Confirmed >= limit || losses >= maxLosses && c.Certain >= minCertain || losses >= maxSilences
+	return c.Confirmed >= maxCrashes || likely >= maxLosses && c.Certain >= minCertain || all >= maxStarts
+}
+
+// IsGivenUp reports whether the task is not started again because it crashes the
+// executors that start it.
+func (t *Task) IsGivenUp(step *Step) bool {
+	return t.Crashes != nil && t.Crashes.mustGiveUp(step.LongRunning)
 }
 
-// recordCrash records the evidence of a run and reports whether the task is given up.
+// recordCrash records the evidence of a run and reports whether the job fails with it.
+// A job with a long-running task goes on without it, because its other tasks serve
+// their users.
 func (t *Task) recordCrash(e CrashEvidence, certain bool, step *Step) bool {
 	// Snapshots share the old value.
 	var next Crashes
@@ -114,7 +131,7 @@
 	if next != (Crashes{}) {
 		t.Crashes = &next
 	}
-	return !t.Done && next.mustGiveUp(step.LongRunning)
+	return !t.Done && !step.LongRunning && next.mustGiveUp(false)
 }
 
 // confirmCrash records that an executor that had fallen silent under the task has
--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -110,6 +110,8 @@
 		return 0
 	case result != jobs.ResultLapsed && (result != jobs.ResultGone || r.session.cause == endPlanned):
 		return 0
+	case r.proven && r.session.unproven > 0:
+		return jobs.LostBeside
 	case r.proven:
 		return jobs.LostLater
 	case r.mayHaveStarted() && r.session.cause == endCrashed && !r.session.rackLost:
