Simulate tasks that crash executors, crashes of racks and changing capacities

The simulation of the manager had no task that crashes the executor that starts it, no executor that shrinks while it runs, and no executor that starts whatever it is told.

The checks count starts and crashes at the executors.

A crash is never counted today, so such a task is started for ever. A capacity is used however old the report is that shows it: after a partition or a failover tasks start on an executor that shrank more than 4.5 s ago.

--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -45,6 +45,28 @@
 	jobs           map[string]*jobHistory
 	recordedEnds   map[runKey]bool
 	trace          []string
+
+	// faults is the source of the crashes and of the changes of capacity. It is
+	// separate from rng so that the random days without them stay the same.
+	faults *rand.Rand
+	// crashReturns are the ways in which crashed executors return.
+	crashReturns []crashReturn
+	crashes      map[jobs.TaskRef]*crashCount
+	gangs        map[gangKey]*gangRun
+	// unguarded are the pools whose executors start whatever they are told.
+	unguarded map[string]bool
+	// order is the order that an executor is carrying out.
+	order sentOrder
+	// onStart is called with each order to start that is sent, if set.
+	onStart func(manager.Call)
+}
+
+// sentOrder describes how an order was sent.
+type sentOrder struct {
+	sentAt time.Time
+	term   uint64
+	// late is set when the order arrives after it has timed out.
+	late bool
 }
 
 type runKey struct {
@@ -62,6 +84,8 @@
 	completed        map[jobs.TaskRef]bool
 	recordedDone     map[jobs.TaskRef]time.Time
 	recordedFailures map[jobs.TaskRef]int
+	// deadly is the task of the job that crashes its executors, or nil.
+	deadly *deadlyTask
 }
 
 type host struct {
@@ -83,6 +107,7 @@
 	pool            string
 	address         string
 	capacity        jobs.Resources
+	capacities      []capacityChange
 	clockStart      time.Time
 	clockRate       float64
 	clockOffset     int64
@@ -159,6 +184,8 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Date(2026, 3, 1, 18, 0, 0, 0, time.UTC), state: jobs.New(), term: 1,
 		executors: map[string]*executor{}, hosts: map[string]*host{}, replies: map[uint64]func(manager.Reply){},
 		jobs: map[string]*jobHistory{}, recordedEnds: map[runKey]bool{},
+		faults: rand.New(rand.NewPCG(seed, 2)), crashReturns: []crashReturn{returnWithNewID, returnWithSameID},
+		crashes: map[jobs.TaskRef]*crashCount{}, gangs: map[gangKey]*gangRun{}, unguarded: map[string]bool{},
 	}
 	s.state.Apply(jobs.Command{Configure: s.jobsConfig(1)})
 	s.startLeader()
@@ -328,6 +355,9 @@
 		})
 		return
 	}
+	if c.Kind == manager.CallStart && s.onStart != nil {
+		s.onStart(c)
+	}
 	e := s.executorAt(c.Address)
 	if e == nil || !e.up && s.rng.IntN(2) == 0 {
 		s.schedule(networkDelay, func() { finish(manager.Outcome{Verdict: manager.NotSent}) })
@@ -342,12 +372,14 @@
 			// not called yet, so late orders only reach incarnations that have
 			// seen a token.
 			if e := s.executorAt(c.Address); e != nil && e.up && e.token > 0 {
+				s.order = sentOrder{sentAt: sentAt, term: term, late: true}
 				e.handle(c, func(manager.Outcome) {})
 			}
 		})
 		return
 	}
 	s.schedule(networkDelay, func() {
+		s.order = sentOrder{sentAt: sentAt, term: term}
 		e.handle(c, func(o manager.Outcome) {
 			if !e.partitioned {
 				s.schedule(networkDelay, func() { finish(o) })
@@ -378,6 +410,7 @@
 		capacity: jobs.Resources{CPU: 32000, MemoryMB: 64 << 10}, up: true, clockRate: 0.98 + 0.02*s.rng.Float64(), clockOffset: int64(s.rng.IntN(1_000_000)) + 1000,
 		runs: map[jobs.TaskRef]*activeRun{}, expiredEnds: map[int64]bool{}, lastRun: map[jobs.TaskRef]int{}, clockStart: s.now, startedAt: s.now.UnixMilli(),
 	}
+	e.capacities = []capacityChange{{s.now, e.capacity}}
 	h.executor = e
 	s.executors[e.address] = e
 	s.schedule(time.Duration(s.rng.IntN(200))*time.Millisecond, e.reportPeriodically)
@@ -466,6 +499,9 @@
 		return
 	default:
 	}
+	if !e.up {
+		return
+	}
 	reply(o)
 }
 
@@ -526,12 +562,16 @@
 	for _, r := range e.runs {
 		used = used.Plus(r.step.Allocation())
 	}
-	if !e.capacity.Minus(used).Fits(step.Allocation()) {
+	if !e.sim.unguarded[e.pool] && !e.capacity.Minus(used).Fits(step.Allocation()) {
 		return manager.Refused, manager.RefusedCapacity
 	}
 	e.sim.checkStart(e, c, history, step)
+	e.sim.checkCapacity(e, c, used, step.Allocation())
+	e.sim.checkCrashBudget(e, c, history)
 	e.lastRun[c.Task] = c.Run
 	e.runs[c.Task] = &activeRun{run: c.Run, step: step, began: e.sim.now, hung: e.failureMode == "hang", pace: 100}
+	e.sim.joinGang(c, step)
+	e.crashAfterStart(c, history)
 	if step.LongRunning || e.failureMode == "hang" {
 		return manager.OK, 0
 	}
@@ -542,7 +582,7 @@
 	startedAt := e.startedAt
 	e.sim.schedule(time.Duration(step.Estimate)*time.Millisecond, func() {
 		if r := e.runs[c.Task]; e.up && e.startedAt == startedAt && r != nil && r.run == c.Run && !r.stopped {
-			e.endRun(c.Task, result)
+			e.endRun(c.Task, e.sim.gangResult(c, step, result))
 		}
 	})
 	return manager.OK, 0
