--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -101,11 +101,11 @@
 
 // mustGiveUp reports whether the task may not be started again. None of the runs of a
 // long-running task may be missing for long without cause, and it meets more losses
-// by chance: those with a likelier cause don't count.
+// by chance: those with a likelier cause count only beside several at the start.
 func (c Crashes) mustGiveUp(longRunning bool) bool {
 	likely := c.AtStart + c.Later
 	all := likely + c.Beside
-	if longRunning {
+	if longRunning && c.AtStart < minCertain {
 		all = likely
 	}
 	return c.Confirmed >= maxCrashes || likely >= maxLosses && c.Certain >= minCertain || all >= maxStarts
