Keep replicas running after a text that is not UTF-8

Cause: the encoder of the log accepts texts that are not valid UTF-8, the decoder rejects them. The ID of an executor is a part of a path, so a report to /instances/%ff/heartbeat at the leader was committed, and every replica then failed to apply the entry and stopped; after a restart the replay of the log stopped it again. A name or a change ID of the resource API did the same.

Change: the decoder accepts such texts.

Conclusion: one malformed message stopped a whole cell for good. It no longer does, and a log that already holds such an entry can be replayed.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -179,7 +179,7 @@
 	if model.New(key.Kind) == nil {
 		return key, fault.New(fault.NotFound, "resource kind %s does not exist", key.Kind)
 	}
-	return key, nil
+	return key, checkText("name", key.Name)
 }
 
 // retryDelayMs returns a random delay in milliseconds.
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -443,3 +443,16 @@
 		require.Equal(t, rec.Code == http.StatusOK, changed, rec.Body.String())
 	})
 }
+
+// Guards against a change whose texts the messages between replicas cannot carry.
+func TestTextsThatAreNotUTF8AreRefused(t *testing.T) {
+	s := newServer(t)
+	for _, r := range []reply{
+		s.do("DELETE", "/v1/pools/p%ff?force=true", ""),
+		s.do("DELETE", "/v1/pools/p?force=true", "", api.ChangeIDHeader, "c\xff", api.IssuedAtHeader, time.Now().Format(time.RFC3339)),
+		s.do("DELETE", "/v1/pools/p?force=true", "", api.ActorHeader, "a\xff"),
+	} {
+		require.Equal(t, http.StatusBadRequest, r.status, string(r.body))
+		require.Equal(t, fault.Invalid, r.decodeFault(t).Kind)
+	}
+}
--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -89,6 +90,11 @@
 // query and body, so that a change ID reused for another request is rejected.
 func (a *api) origin(r *http.Request, body []byte) (state.Origin, *fault.Error) {
 	o := state.Origin{Actor: requestActor(r), Source: r.RemoteAddr, Time: a.Backend.Now(), ChangeID: r.Header.Get(ChangeIDHeader)}
+	for field, text := range map[string]string{ActorHeader: o.Actor, ChangeIDHeader: o.ChangeID} {
+		if err := checkText(field, text); err != nil {
+			return o, err
+		}
+	}
 	if o.ChangeID == "" {
 		return o, nil
 	}
@@ -107,6 +113,15 @@
 	return o, nil
 }
 
+// checkText returns an error if a text from a path or a header is not valid UTF-8,
+// which the messages between replicas cannot carry.
+func checkText(field, text string) *fault.Error {
+	if !utf8.ValidString(text) {
+		return fault.InvalidField(field, "valid UTF-8", "value is %q", text)
+	}
+	return nil
+}
+
 // queryNumber returns a query parameter as a number from 0 to high, or def if it
 // is absent.
 func queryNumber(r *http.Request, name string, def, high uint64) (uint64, *fault.Error) {
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -30,7 +30,12 @@
 }
 
 func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 10_000_000, MaxMapPairs: 10_000_000}.DecMode()
+	// The encoder accepts texts that are not valid UTF-8. If the decoder rejected
+	// them, an entry of the log with such a text would stop every replica, and stop
+	// it again after each restart.
+	mode, err := cbor.DecOptions{
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 10_000_000, MaxMapPairs: 10_000_000, UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
