Ignore the end of a run that was never begun

Cause: the records raised a task's last run to any number that an executor listed among its ends. With the highest number the next one overflows: BeginRun is refused, the leader proposes it again at once, and so on for ever. The job never runs, and the log grows as fast as the disks can sync.

Change: an end whose number is above the task's last run counts as recorded for its executor and changes no task. Every run that was ordered was recorded as begun first. FuzzMessages passes arbitrary reports, answers, jobs, configurations and waves through the adapter into the leader and the records, decodes each log entry twice, and checks the invariants of the records after each message.

--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -356,7 +356,8 @@
 		return nil
 	}
 	task, step := j.Task(e.Task)
-	if task == nil {
+	if task == nil || e.Run > task.LastRun {
+		// An executor may list a run that was never begun.
 		return nil
 	}
 	index := task.runIndex(e.Run)
@@ -364,7 +365,6 @@
 		task.Runs = slices.Delete(task.Runs, index, index+1)
 		j.LiveRuns--
 	}
-	task.LastRun = max(task.LastRun, e.Run)
 	s.applyResult(j, e, task, step, index >= 0)
 	j.discardIfEnded()
 	return nil
--- a/internal/core/jobs/state_test.go
+++ b/internal/core/jobs/state_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -266,3 +267,16 @@
 	apply(RecordHostOrders{Term: 3, Settled: []string{"a", "b", "other"}})
 	require.Empty(t, s.HostOrders())
 }
+
+// Guards against the end of a run that was never begun, which an executor lists by
+// mistake: with the highest number as its last run, a task could never start again.
+func TestEndOfRunThatWasNotBegunChangesNoTask(t *testing.T) {
+	s := newState(t)
+	mustApply(t, s, beginRun(taskRef(0, 0), 1))
+	mustApply(t, s, endRun(taskRef(0, 0), math.MaxInt, ResultFailed, 1))
+	task, _ := s.Task(taskRef(0, 0))
+	require.Equal(t, &Task{LastRun: 1, Runs: []Run{{Number: 1, Executor: 1}}}, task)
+	require.EqualValues(t, 1, s.Executor(1).RecordedEnd)
+	mustApply(t, s, endRun(taskRef(0, 0), 1, ResultStopped, 2))
+	mustApply(t, s, beginRun(taskRef(0, 0), 2))
+}
