Read a listing of hosts in spite of a malformed row

Cause: the platform's listing was decoded as a whole. One row with a missing field, a field of another type or an unknown state, as another writer may add it, failed the whole listing. Without a listing the leader resizes no pool, and no wave begins.

A host that is missing from a listing with unreadable rows is not taken for removed: the order for its upkeep asks the platform, which refuses it if the host does not exist.

--- a/internal/core/manager/call.go
+++ b/internal/core/manager/call.go
@@ -206,8 +206,10 @@
 	Running []RunningRow
 	Ended   []EndedRow
 
-	Hosts         []HostRow
-	NextPageToken string
+	Hosts []HostRow
+	// UnreadableHosts is the number of rows of the listing that could not be read.
+	UnreadableHosts int
+	NextPageToken   string
 
 	Allowed  []Allowance
 	ValidFor time.Duration
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -52,8 +52,13 @@
 	// listedAt is the start of the newest complete listing.
 	listedAt time.Time
 	nextList time.Time
-	// rows are those of the pages received so far.
-	rows []HostRow
+	// rows are those of the pages received so far, and unreadable is the number of
+	// those that could not be read.
+	rows       []HostRow
+	unreadable int
+	// absenceShownAt is the start of the newest complete listing without unreadable
+	// rows. Only such a listing shows that a host no longer exists.
+	absenceShownAt time.Time
 	// listStartedAt is the start of the newest listing, complete or not.
 	listStartedAt time.Time
 	// unrecorded are the queued orders whose record is not proposed yet.
@@ -196,7 +201,7 @@
 	if inv.listPending || now.Before(inv.nextList) {
 		return
 	}
-	inv.listPending, inv.rows, inv.listStartedAt = true, nil, now
+	inv.listPending, inv.rows, inv.unreadable, inv.listStartedAt = true, nil, 0, now
 	m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout}, pendingCall{}, now)
 }
 
@@ -207,12 +212,15 @@
 		inv.listPending, inv.nextList = false, now.Add(hostOrderInterval)
 		return
 	}
-	inv.rows = append(inv.rows, o.Hosts...)
+	inv.rows, inv.unreadable = append(inv.rows, o.Hosts...), inv.unreadable+o.UnreadableHosts
 	if o.NextPageToken != "" {
 		m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout, PageToken: o.NextPageToken}, pendingCall{}, now)
 		return
 	}
 	inv.listPending, inv.listedAt, inv.nextList = false, inv.listStartedAt, now.Add(minListInterval)
+	if inv.unreadable == 0 {
+		inv.absenceShownAt = inv.listStartedAt
+	}
 	for _, row := range inv.rows {
 		h := inv.get(row.Host)
 		h.listed, h.listedAt = row, inv.listStartedAt
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -243,10 +243,13 @@
 	switch {
 	case h.listedAt.IsZero() && m.hosts.listedAt.IsZero():
 		return false
-	case h.listedAt.Before(m.hosts.listedAt):
+	case h.listedAt.Before(m.hosts.absenceShownAt):
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: w.rec.ID, Host: h.name, Removed: true}})
 		h.nextOrder = now.Add(hostOrderInterval)
 		return false
+	case h.listedAt.Before(m.hosts.listedAt):
+		// The host may be in a row that could not be read. The platform refuses the
+		// upkeep of a host that does not exist.
 	case h.listed.State != HostUp:
 		return false
 	}
