Keep a draining executor draining after a failover

Cause: the sequence number of an executor's newest report is not recorded. After a change of leader, a report from before the executor began to drain, which was delayed, looked new; it cleared the draining state in the records, and tasks started on an executor that was about to leave.

Change: an incarnation that drains never stops draining, in the leader's view and in the records.

--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -456,7 +456,7 @@
 		if old == nil {
 			return fault.New(fault.Conflict, "executor %d is not registered", e.Number)
 		}
-		e.RecordedEnd = old.RecordedEnd
+		e.RecordedEnd, e.Draining = old.RecordedEnd, e.Draining || old.Draining
 		s.executors[e.Number] = &e
 		return nil
 	}
--- a/internal/core/manager/direct_test.go
+++ b/internal/core/manager/direct_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+func (l *directLeader) report(r manager.Report) {
+	l.manager.HandleReport(r, l.now)
+	l.step(0)
+}
+
+// count returns the number of calls of a kind that have no outcome yet.
+func (l *directLeader) count(kind manager.CallKind) int {
+	count := 0
+	for _, c := range l.calls {
+		if c.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+func (l *directLeader) submit(id string) {
+	spec := &jobs.Spec{Steps: []jobs.Step{{Count: 1, Demand: jobs.Resources{CPU: 1}}}}
+	l.manager.HandleRequest(manager.Request{ID: 1, Kind: manager.RequestSubmit, Host: "h", Path: "/q/" + id, Spec: spec}, l.now)
+	l.step(0)
+}
+
 // take removes the oldest call of a kind and returns it.
 func (l *directLeader) take(kind manager.CallKind) manager.Call {
 	for i, c := range l.calls {
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -46,6 +46,9 @@
 		s.draining = true
 		m.requestPasses()
 	}
+	// After a failover a delayed report looks new. An incarnation that drains never
+	// stops draining.
+	r.Draining = r.Draining || s.draining
 	if next := r.executor(known.Number); hasChanged(known, &next) {
 		m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
 	}
