Bound the work that one answer can cause

Cause: an executor's list of 20,000 runs that nobody ordered made the leader send 20,000 orders to stop them, each in a goroutine, and an answer could be of any length; a listing with a repeated page token never ended and kept all its rows; and advice that is valid for no time was requested again as fast as the advisor answered. Each lets one peer fill the memory of the leader, or its processor time.

The entries of stopped orphans are removed; they stayed for the life of the session.

--- a/internal/core/manager/advice.go
+++ b/internal/core/manager/advice.go
@@ -91,17 +91,15 @@
 	a := pending.advice
 	a.pending = false
 	pending.job.pool.requestPass()
+	// Advice that is not valid for long must not keep the advisor busy either.
+	a.nextRequest = now.Add(adviceRetryInterval)
 	if o.Verdict != OK {
-		a.nextRequest = now.Add(adviceRetryInterval)
 		return
 	}
 	a.tickets, a.validUntil = map[string]string{}, o.AnsweredAt.Add(o.ValidFor)
 	for _, row := range o.Allowed {
 		a.tickets[row.Executor] = row.Ticket
 	}
-	if len(a.tickets) == 0 {
-		a.nextRequest = now.Add(adviceRetryInterval)
-	}
 }
 
 // ticket returns the advisor's ticket for a task on an executor, or "".
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -1,6 +1,8 @@
 package manager
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -367,9 +369,10 @@
 
 // recordEnds proposes to record the ends that are not recorded yet.
 func (m *Manager) recordEnds(s *session, ended []EndedRow, now time.Time) {
-	slices.SortFunc(ended, func(a, b EndedRow) int { return int(a.Number - b.Number) })
-	for _, e := range ended {
-		if e.Number <= s.rec.RecordedEnd || e.Number <= s.proposedEnd {
+	slices.SortFunc(ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
+	ended = slices.DeleteFunc(ended, func(e EndedRow) bool { return e.Number <= s.rec.RecordedEnd })
+	for _, e := range ended[:min(len(ended), maxEndsListed)] {
+		if e.Number <= s.proposedEnd {
 			continue
 		}
 		s.proposedEnd = e.Number
@@ -390,6 +393,7 @@
 // sent.
 func (m *Manager) reconcileRuns(s *session, o Outcome, sentAt, now time.Time) {
 	listed := make(map[runKey]*RunningRow, len(o.Running))
+	maps.DeleteFunc(s.orphanStops, func(_ runKey, next time.Time) bool { return !now.Before(next) })
 	for i := range o.Running {
 		row := &o.Running[i]
 		key := runKey{row.Task, row.Run}
@@ -400,7 +404,7 @@
 		}
 		if r != nil {
 			m.handleListedRun(r, row, now)
-		} else {
+		} else if len(s.orphanStops) < maxOrphanStops {
 			m.stopOrphan(s, key, now)
 		}
 	}
@@ -413,6 +417,10 @@
 	m.adjustPace(s, now)
 }
 
+// maxOrphanStops bounds the orphaned runs that an executor is ordered to stop within
+// stopInterval. A list may name any number of runs, and every order takes a goroutine.
+const maxOrphanStops = 256
+
 // handleListedRun updates a run from the executor's list.
 func (m *Manager) handleListedRun(r *run, row *RunningRow, now time.Time) {
 	switch r.state {
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -56,6 +56,8 @@
 	// those that could not be read.
 	rows       []HostRow
 	unreadable int
+	// pages is the number of pages received so far.
+	pages int
 	// absenceShownAt is the start of the newest complete listing without unreadable
 	// rows. Only such a listing shows that a host no longer exists.
 	absenceShownAt time.Time
@@ -106,6 +108,9 @@
 	// minListInterval is the least time between two listings of the platform's
 	// hosts. A listing has a cost, and most changes are known from reports.
 	minListInterval = 2 * time.Second
+	// maxListPages bounds the pages of a listing, which would otherwise never end if
+	// the platform repeats a page token.
+	maxListPages = 1000
 	// hostCallTimeout bounds a call to the platform, which may be slow.
 	hostCallTimeout = 2 * time.Second
 	// settleInterval is the time between two checks for orders that have settled. The
@@ -201,7 +206,7 @@
 	if inv.listPending || now.Before(inv.nextList) {
 		return
 	}
-	inv.listPending, inv.rows, inv.unreadable, inv.listStartedAt = true, nil, 0, now
+	inv.listPending, inv.rows, inv.unreadable, inv.pages, inv.listStartedAt = true, nil, 0, 0, now
 	m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout}, pendingCall{}, now)
 }
 
@@ -213,6 +218,10 @@
 		return
 	}
 	inv.rows, inv.unreadable = append(inv.rows, o.Hosts...), inv.unreadable+o.UnreadableHosts
+	if inv.pages++; o.NextPageToken != "" && inv.pages >= maxListPages {
+		inv.listPending, inv.rows, inv.nextList = false, nil, now.Add(minListInterval)
+		return
+	}
 	if o.NextPageToken != "" {
 		m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout, PageToken: o.NextPageToken}, pendingCall{}, now)
 		return
@@ -222,23 +231,29 @@
 		inv.absenceShownAt = inv.listStartedAt
 	}
 	for _, row := range inv.rows {
-		h := inv.get(row.Host)
-		h.listed, h.listedAt = row, inv.listStartedAt
-		if !h.away && !h.orderPending {
-			h.pool = row.Pool
-			if row.State == HostInUpkeep {
-				h.away, h.changedAt, h.orderedAt, h.wave = true, inv.listStartedAt, inv.listStartedAt, m.waveOf(row.Host)
-			}
+		m.hostListed(row, now)
+	}
+	inv.rows = nil
+}
+
+// hostListed updates a host from its row in a complete listing.
+func (m *Manager) hostListed(row HostRow, now time.Time) {
+	inv := &m.hosts
+	h := inv.get(row.Host)
+	h.listed, h.listedAt = row, inv.listStartedAt
+	if !h.away && !h.orderPending {
+		h.pool = row.Pool
+		if row.State == HostInUpkeep {
+			h.away, h.changedAt, h.orderedAt, h.wave = true, inv.listStartedAt, inv.listStartedAt, m.waveOf(row.Host)
 		}
-		hasReturned := row.State == HostUp || row.State == HostDown
-		if h.away && !h.orderPending && hasReturned && h.changedAt.Before(inv.listStartedAt.Add(-m.cfg.UpkeepTime)) {
-			h.away, h.changedAt, h.target, h.wave, h.pool = false, now, "", 0, row.Pool
-			if s := m.sessionOn(row.Host); s != nil && s.reservedFor == actionMove {
-				m.releaseReservation(s)
-			}
+	}
+	hasReturned := row.State == HostUp || row.State == HostDown
+	if h.away && !h.orderPending && hasReturned && h.changedAt.Before(inv.listStartedAt.Add(-m.cfg.UpkeepTime)) {
+		h.away, h.changedAt, h.target, h.wave, h.pool = false, now, "", 0, row.Pool
+		if s := m.sessionOn(row.Host); s != nil && s.reservedFor == actionMove {
+			m.releaseReservation(s)
 		}
 	}
-	inv.rows = nil
 }
 
 // sessionOn returns the session of the newest incarnation on a host, or nil.
