Survive a panic in a single order

Cause: every order to an executor, the platform or the advisor runs in a goroutine of its own, on the leader or on a replica that sends orders for it. A programming error that one answer provokes there ends the process, and with it every other order.

The control loop has no such guard: a panic there may leave the leader's state half changed, so the process ends and the next leader starts from the records.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.PlatformClient = orders.Guard(cfg.PlatformClient, cfg.Metrics, cfg.Log)
 	c := &Cell{cfg: cfg, id: id, entryHosts: &entryHostRegistry{lastSeen: map[string]time.Time{}}, stopping: make(chan struct{})}
 	c.leader = lead.New(lead.Config{
 		Manager: cfg.Manager, Metrics: cfg.Metrics, Log: cfg.Log,
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -65,6 +65,7 @@
 	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to correct"}
 	ProxyLost          = Event{1227, "helper_lost", logrus.WarnLevel, "proxy replica that makes calls for the leader has failed", "none; other replicas make the calls, and the outcome of its orders is looked up"}
 	LeaderFenced       = Event{1230, "leader_fenced", logrus.WarnLevel, "an executor has seen a newer leader", "none; this replica learns that it was replaced"}
+	OrderPanicked      = Event{1231, "order_panicked", logrus.ErrorLevel, "order ended in a programming error and counts as unanswered", "report the stack; the process goes on"}
 )
 
 // Events of the entry hosts: 1300 to 1499.
@@ -88,7 +89,7 @@
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
-		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced,
+		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced, OrderPanicked,
 		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected, RequestMalformed, RequestUnanswered,
 	}
 }
