Keep the ID of a removed replica out of the cell

Cause: a replica that was removed while it was down could become a member under its old ID again, in two ways. The leader kept its last request to join for 3 s, also after it had become a member, and added it again after the removal. And after a restart with the old disk, the replica asked to join before it had read from that disk that it was a voter; a removed learner always did.

Change: the leader drops the requests of members. A replica waits for the status that its control loop publishes, and asks to join only while its disk names no members; one that is not among the leader's members clears its data folder, as before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -216,10 +216,16 @@
 	return urls
 }
 
-// maintainMembership requests to join until this replica is a voter. It returns
-// errRemoved if the cell has removed the replica.
+// maintainMembership requests to join until this replica knows the members. It returns
+// errRemoved if the cell has removed the replica, whose ID must not return.
 func (c *Cell) maintainMembership(ctx context.Context) error {
 	absentChecks := 0
+	// The status has no members before the control loop publishes those on the disk.
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.replica.StatusChanged():
+	}
 	for {
 		status := c.replica.Status()
 		voter := status.Members.IsVoter(c.id)
@@ -236,7 +242,7 @@
 			absentChecks = 0
 			continue
 		}
-		if !voter {
+		if len(status.Members.Voters) == 0 {
 			if err := c.join(ctx); err != nil && ctx.Err() == nil {
 				c.cfg.Log.Err(logevent.JoinNotAsked, err, nil)
 			}
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -146,19 +146,21 @@
 	status := m.replica.Status()
 	return quorum.View{
 		Self: status.ID, Members: status.Members, MemberStatuses: status.MemberStatuses, Addresses: status.Addresses,
-		Joiners: m.recentJoiners(now), MinVoters: m.minVoters,
+		Joiners: m.recentJoiners(status.Members, now), MinVoters: m.minVoters,
 		SilentFor: quorum.SilentMembers(status.MemberStatuses, m.tick, ticksPerElection),
 	}
 }
 
 // recentJoiners returns the replicas that recently requested to join, in order of
-// ID, and drops older requests.
-func (m *membershipReconciler) recentJoiners(now time.Time) []quorum.Joiner {
+// ID, and drops older requests and those of members: a request that was kept would
+// bring a member back under its old ID after its removal.
+func (m *membershipReconciler) recentJoiners(members raft.Membership, now time.Time) []quorum.Joiner {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []quorum.Joiner
 	for address, r := range m.joinRequests {
-		if now.Sub(r.receivedAt) > joinRequestTTL {
+		isMember := members.IsVoter(r.joiner.ID) || members.IsLearner(r.joiner.ID)
+		if isMember || now.Sub(r.receivedAt) > joinRequestTTL {
 			delete(m.joinRequests, address)
 			continue
 		}
