--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -36,8 +36,13 @@
 	Done       bool   `cbor:"3,keyasint,omitempty"`
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
 	Runs       []Run  `cbor:"5,keyasint,omitempty"`
+	// Crashes is nil unless executors were lost under the task.
+	Crashes *Crashes `cbor:"6,keyasint,omitempty"`
 }
 
+// IsSuspect reports whether the task may crash the executors that start it.
+func (t *Task) IsSuspect() bool { return t.Crashes != nil && t.Crashes.IsSuspect() }
+
 // StepRecord is the record of one step in one occurrence. TasksLeft is the
 // number of tasks that are not done.
 type StepRecord struct {
@@ -255,6 +260,8 @@
 		return s.deleteJob(c.DeleteJob.ID)
 	case c.RecordHostOrders != nil:
 		return s.recordHostOrders(c.RecordHostOrders)
+	case c.ConfirmCrash != nil:
+		return s.confirmCrash(c.ConfirmCrash.Task)
 	}
 	return fault.New(fault.Internal, "command is empty or of an unknown kind")
 }
@@ -380,6 +387,10 @@
 	if j.Phase.IsFinal() {
 		return
 	}
+	if isLive && e.Evidence != 0 && task.recordCrash(e.Evidence, e.Crashed, step) {
+		j.finish(PhaseFailed)
+		return
+	}
 	switch e.Result {
 	case ResultDone:
 		if isLive && !step.LongRunning {
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -51,9 +51,12 @@
 	// After a failover a delayed report looks new. An incarnation that drains never
 	// stops draining.
 	r.Draining = r.Draining || s.draining
-	if next := r.executor(known.Number); hasChanged(known, &next) {
-		m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
+	next := r.executor(known.Number)
+	if !hasChanged(known, &next) {
+		s.describedAt = now
+		return
 	}
+	m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
 }
 
 // registerNew proposes the record of an unknown incarnation.
@@ -82,7 +85,7 @@
 		return
 	}
 	if n := reg.Executor.Number; n > 0 {
-		m.executorChanged(m.sessions.get(n), m.state.Executor(n))
+		m.executorChanged(m.sessions.get(n), m.state.Executor(n), now)
 		return
 	}
 	e := m.state.ExecutorByID(reg.Executor.ID)
@@ -92,6 +95,7 @@
 	}
 	m.logEvent(Event{Kind: EventExecutorJoined, Executor: e.ID, Pool: e.Pool, Host: e.Host, Reason: e.Address})
 	s := m.addSession(e, now)
+	s.describedAt = now
 	for _, old := range slices.Clone(m.sessions.sorted) {
 		if old != s && old.rec.ID == e.ID {
 			m.endSession(old, reasonRestarted, now)
@@ -102,7 +106,7 @@
 }
 
 // executorChanged updates the session after a changed description was recorded.
-func (m *Manager) executorChanged(s *session, e *jobs.Executor) {
+func (m *Manager) executorChanged(s *session, e *jobs.Executor, now time.Time) {
 	if s == nil || e == nil {
 		return
 	}
@@ -111,12 +115,24 @@
 		m.pool(e.Pool).addSession(s)
 	}
 	m.sessions.updateRecord(s, e)
-	s.draining = e.Draining
+	s.draining, s.describedAt = e.Draining, now
 }
 
-// reasonRestarted is the reason given when an incarnation has ended because a
-// newer one answers under the same ID.
-const reasonRestarted = "executor restarted"
+const (
+	// reasonRestarted is the reason given when an incarnation has ended because a
+	// newer one answers under the same ID.
+	reasonRestarted = "executor restarted"
+	// reasonReplaced and reasonHostReplaced are the reasons given when one with
+	// another ID answers at its address or on its host.
+	reasonReplaced     = "another executor answers at the address"
+	reasonHostReplaced = "another executor answers on the host"
+)
+
+// isReplaced reports whether another incarnation answers in the place of one that
+// ended for the reason.
+func isReplaced(reason string) bool {
+	return reason == reasonRestarted || reason == reasonReplaced || reason == reasonHostReplaced
+}
 
 // endSession concludes that an incarnation has ended, so that none of its runs
 // is active. An order still in transit names the executor and not the
@@ -127,6 +143,10 @@
 		return
 	}
 	s.ended = true
+	if isReplaced(reason) {
+		s.cause = m.causeOfEnd(s, now)
+	}
+	m.confirmCrashes(s)
 	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
 	m.pool(s.rec.Pool).removeSession(s)
 	for _, r := range s.sortedRuns(nil) {
@@ -265,6 +285,8 @@
 	switch {
 	case !s.confirmed || s.failures > 0 || s.hasUncertainRun():
 		return 0
+	case s.suspects > 0:
+		return suspectProvingTime
 	case len(s.runs) == 0:
 		return idleHoldWait
 	case s.pacer.isActive:
@@ -329,6 +351,7 @@
 	}
 	if !s.confirmed {
 		s.confirm()
+		m.endPredecessors(s, sentAt, now)
 		m.requestPasses()
 	}
 	m.recordEnds(s, o.Ended, now)
@@ -346,10 +369,13 @@
 		if s.failures == 0 && !m.hosts.get(s.rec.Host).away {
 			m.logEvent(Event{Kind: EventExecutorSilent, Executor: s.rec.ID, Pool: s.rec.Pool, Reason: o.Verdict.String(), Age: now.Sub(s.lastHeardAt)})
 		}
-		s.failures++
+		if s.failures++; s.failures == 1 {
+			s.failingSince = now
+			m.noteRackLoss(s)
+		}
 		return false
 	case WrongInstance:
-		m.endSession(s, "another executor answers at the address", now)
+		m.endSession(s, reasonReplaced, now)
 		return false
 	default:
 	}
@@ -358,9 +384,9 @@
 		return false
 	}
 	s.readClock(o.Clock, o.AnsweredAt)
-	s.lastHeardAt = now
+	s.lastHeardAt, s.lastAnswerAt = now, now
 	if s.failures > 0 {
-		s.failures = 0
+		s.failures, s.rackLost = 0, false
 		m.logEvent(Event{Kind: EventExecutorAnswers, Executor: s.rec.ID, Pool: s.rec.Pool})
 		m.requestPasses()
 	}
@@ -381,10 +407,14 @@
 		if r == nil {
 			r = m.adoptRun(s, key, now)
 		}
-		m.propose(jobs.Command{EndRun: &jobs.EndRun{Task: e.Task, Run: e.Run, Executor: s.rec.Number, Result: e.How, Checkpoint: e.Saved, Number: e.Number}})
+		end := &jobs.EndRun{Task: e.Task, Run: e.Run, Executor: s.rec.Number, Result: e.How, Checkpoint: e.Saved, Number: e.Number}
 		if r != nil {
+			if r.hasSurvived() {
+				end.Evidence = m.crashEvidence(r, e.How)
+			}
 			r.setState(runEnded, now)
 		}
+		m.propose(jobs.Command{EndRun: end})
 	}
 }
 
@@ -394,6 +424,7 @@
 func (m *Manager) reconcileRuns(s *session, o Outcome, sentAt, now time.Time) {
 	listed := make(map[runKey]*RunningRow, len(o.Running))
 	maps.DeleteFunc(s.orphanStops, func(_ runKey, next time.Time) bool { return !now.Before(next) })
+	foreign := jobs.Resources{}
 	for i := range o.Running {
 		row := &o.Running[i]
 		key := runKey{row.Task, row.Run}
@@ -404,10 +435,14 @@
 		}
 		if r != nil {
 			m.handleListedRun(r, row, now)
-		} else if len(s.orphanStops) < maxOrphanStops {
+			continue
+		}
+		foreign = foreign.Plus(m.foreignAllocation(s, row.Task))
+		if len(s.orphanStops) < maxOrphanStops {
 			m.stopOrphan(s, key, now)
 		}
 	}
+	s.foreign = foreign
 	for _, r := range s.sortedRuns(nil) {
 		if listed[r.key] == nil && r.stateSince.Before(sentAt) {
 			m.handleMissingRun(r, len(o.Ended) >= maxEndsListed, now)
@@ -421,8 +456,26 @@
 // stopInterval. A list may name any number of runs, and every order takes a goroutine.
 const maxOrphanStops = 256
 
+// foreignAllocation returns what a listed run that the leader has no record of
+// occupies. The demand of a job that has ended is not recorded any more: where the
+// executor does not guard its capacity, it counts as full until the run has gone.
+func (m *Manager) foreignAllocation(s *session, ref jobs.TaskRef) jobs.Resources {
+	if _, step := m.state.Task(ref); step != nil {
+		return step.Allocation()
+	}
+	if m.isUnguarded(s) {
+		return s.rec.Capacity
+	}
+	return jobs.Resources{}
+}
+
 // handleListedRun updates a run from the executor's list.
 func (m *Manager) handleListedRun(r *run, row *RunningRow, now time.Time) {
+	if r.state == runInherited {
+		r.markStarted(m.startedAt)
+	}
+	r.markStarted(now)
+	r.markListed(now)
 	switch r.state {
 	case runOrdered, runUncertain, runInherited, runBlocked:
 		r.setState(runActive, now)
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -192,16 +192,22 @@
 	// unplaceable are allocations of unconstrained steps that no executor had
 	// capacity for. Equal or larger ones are not tried again in this pass.
 	unplaceable []jobs.Resources
+	// held are the executors that take no other task in this pass, so that a suspect
+	// task can start there soon. onProbation counts the executors that are kept apart
+	// for suspect tasks, and maxOnProbation limits them.
+	held                        []*session
+	onProbation, maxOnProbation int
 }
 
 func (m *Manager) schedulePool(p *pool, now time.Time) {
 	p.needsPass, p.hasWaiting, p.lastPassAt = false, false, now
 	sp := &pass{m: m, pool: p, now: now}
 	for _, s := range p.sessions {
-		if s.isSchedulable(now) {
+		if s.isSchedulable(now) && m.knowsCapacity(s, now) {
 			sp.schedulable = append(sp.schedulable, s)
 		}
 	}
+	sp.limitProbation()
 	for _, w := range p.waitingJobs(now) {
 		sp.placeJob(w.job)
 		p.hasWaiting = p.hasWaiting || w.job.waitingTasks > 0
@@ -247,10 +253,16 @@
 	for i := range j.tasks[occurrence][stepIndex] {
 		record := &j.rec.Steps[occurrence][stepIndex].Tasks[i]
 		task := &j.tasks[occurrence][stepIndex][i]
-		if record.Done || task.liveRuns > 0 || noCapacity && len(task.avoided) == 0 {
+		if record.Done || task.liveRuns > 0 || record.IsGivenUp(step) || noCapacity && len(task.avoided) == 0 {
 			continue
 		}
 		ref := jobs.TaskRef{Job: j.rec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}
+		if record.IsSuspect() {
+			if s := p.findForSuspect(j, ref, step, task); s != nil {
+				p.proposeRun(j, ref, record.LastRun+1, s)
+			}
+			continue
+		}
 		if s := p.findExecutor(j, ref, step, task); s != nil {
 			p.proposeRun(j, ref, record.LastRun+1, s)
 		} else if len(task.avoided) == 0 {
@@ -276,7 +288,7 @@
 	step := &j.rec.Spec.Steps[stepIndex]
 	number := 0
 	for i := range j.tasks[occurrence][stepIndex] {
-		if j.tasks[occurrence][stepIndex][i].liveRuns > 0 {
+		if j.tasks[occurrence][stepIndex][i].liveRuns > 0 || j.rec.Steps[occurrence][stepIndex].Tasks[i].IsGivenUp(step) {
 			return
 		}
 		number = max(number, j.rec.Steps[occurrence][stepIndex].Tasks[i].LastRun)
@@ -361,7 +373,7 @@
 
 // canRun reports whether an executor can run a task now.
 func (p *pass) canRun(j *job, ref jobs.TaskRef, step *jobs.Step, s *session) bool {
-	if !s.rec.HasLabel(step.Label) || !s.free().Fits(step.Allocation()) || s.health.isFull(p.now) {
+	if p.isKeptApart(s) || !s.rec.HasLabel(step.Label) || !s.free().Fits(step.Allocation()) || s.health.isFull(p.now) {
 		return false
 	}
 	if j.hasAdvisor() && j.ticket(ref, s.rec.ID) == "" {
