--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -363,7 +363,8 @@
 		return nil
 	}
 	task, step := j.Task(e.Task)
-	if task == nil {
+	if task == nil || e.Run > task.LastRun {
+		// An executor may list a run that was never begun.
 		return nil
 	}
 	index := task.runIndex(e.Run)
@@ -371,7 +372,6 @@
 		task.Runs = slices.Delete(task.Runs, index, index+1)
 		j.LiveRuns--
 	}
-	task.LastRun = max(task.LastRun, e.Run)
 	s.applyResult(j, e, task, step, index >= 0)
 	j.discardIfEnded()
 	return nil
@@ -467,7 +467,7 @@
 		if old == nil {
 			return fault.New(fault.Conflict, "executor %d is not registered", e.Number)
 		}
-		e.RecordedEnd = old.RecordedEnd
+		e.RecordedEnd, e.Draining = old.RecordedEnd, e.Draining || old.Draining
 		s.executors[e.Number] = &e
 		return nil
 	}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -1,6 +1,8 @@
 package manager
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,6 +48,9 @@
 		s.draining = true
 		m.requestPasses()
 	}
+	// After a failover a delayed report looks new. An incarnation that drains never
+	// stops draining.
+	r.Draining = r.Draining || s.draining
 	next := r.executor(known.Number)
 	if !hasChanged(known, &next) {
 		s.describedAt = now
@@ -390,9 +395,10 @@
 
 // recordEnds proposes to record the ends that are not recorded yet.
 func (m *Manager) recordEnds(s *session, ended []EndedRow, now time.Time) {
-	slices.SortFunc(ended, func(a, b EndedRow) int { return int(a.Number - b.Number) })
-	for _, e := range ended {
-		if e.Number <= s.rec.RecordedEnd || e.Number <= s.proposedEnd {
+	slices.SortFunc(ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
+	ended = slices.DeleteFunc(ended, func(e EndedRow) bool { return e.Number <= s.rec.RecordedEnd })
+	for _, e := range ended[:min(len(ended), maxEndsListed)] {
+		if e.Number <= s.proposedEnd {
 			continue
 		}
 		s.proposedEnd = e.Number
@@ -417,6 +423,7 @@
 // sent.
 func (m *Manager) reconcileRuns(s *session, o Outcome, sentAt, now time.Time) {
 	listed := make(map[runKey]*RunningRow, len(o.Running))
+	maps.DeleteFunc(s.orphanStops, func(_ runKey, next time.Time) bool { return !now.Before(next) })
 	foreign := jobs.Resources{}
 	for i := range o.Running {
 		row := &o.Running[i]
@@ -428,9 +435,11 @@
 		}
 		if r != nil {
 			m.handleListedRun(r, row, now)
-		} else {
+			continue
+		}
+		foreign = foreign.Plus(m.foreignAllocation(s, row.Task))
+		if len(s.orphanStops) < maxOrphanStops {
 			m.stopOrphan(s, key, now)
-			foreign = foreign.Plus(m.foreignAllocation(s, row.Task))
 		}
 	}
 	s.foreign = foreign
@@ -443,6 +452,10 @@
 	m.adjustPace(s, now)
 }
 
+// maxOrphanStops bounds the orphaned runs that an executor is ordered to stop within
+// stopInterval. A list may name any number of runs, and every order takes a goroutine.
+const maxOrphanStops = 256
+
 // foreignAllocation returns what a listed run that the leader has no record of
 // occupies. The demand of a job that has ended is not recorded any more: where the
 // executor does not guard its capacity, it counts as full until the run has gone.
