Send no order after the permission under which it was given has ended

Cause: the control loop checked the leader's lease before it passed orders to their goroutines, and nothing checked it after that. A process that was suspended between the check and the write, an order that waited for a connection, and a batch that waited in the socket buffer of a proxy replica were sent when another leader could act. Orders for hosts are not fenced on every deployment.

Change: an order carries the end of the lease on CLOCK_BOOTTIME (manager.Call.SendUntil, set by lead.Flush). core/permit decides whether it may still be sent. Orders wait for the first reading, one round trip per stream.

TestUnresponsiveReplicaIsSuspended used a server that never answers at all; such a replica gets no orders now, as it reports no clock. It is replaced by two cases: a replica that reports its clock and returns no outcomes (NoAnswer, as before), and one that reports nothing (NotSent).

--- a/internal/control/jobmanager.go
+++ b/internal/control/jobmanager.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/codec"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/jobs"
+	"laburnumdock/internal/core/permit"
 	"laburnumdock/internal/core/raft"
 	"laburnumdock/internal/core/state"
 	"laburnumdock/internal/logevent"
@@ -29,8 +29,9 @@
 	HandleApplied(cmd jobs.Command, err *fault.Error, now time.Time)
 	// Step returns the commands to propose.
 	Step(now time.Time) []jobs.Command
-	// Flush carries out the effects of committed commands.
-	Flush(now time.Time)
+	// Flush carries out the effects of committed commands. No order may leave this
+	// host from leaseEnd on, a time since boot on the clock of boottime.
+	Flush(now time.Time, leaseEnd time.Duration)
 }
 
 // jobEvent is an event for the job manager.
@@ -83,29 +84,22 @@
 	term uint64
 	// confirmToken is the token of the newest read that requests a confirmation and
 	// sentAt the time at which it was sent. confirmedAt is the time at which the
-	// newest confirmed read was sent. Both times include time in suspension; see
-	// timeSinceBoot.
+	// newest confirmed read was sent. Both times include time in suspension: a
+	// leader that was suspended must notice that its lease has expired before it
+	// acts.
 	confirmToken uint64
 	sentAt       time.Duration
 	confirmedAt  time.Duration
 	ticks        int
 }
 
-// timeSinceBoot returns the time since the host was booted, including time in
-// suspension: a leader that was suspended must notice that its lease has expired
-// before it acts.
-func timeSinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(time.Now().UnixNano())
+// leaseEnd returns the time since boot up to which it is certain that no other
+// leader has been elected, or 0.
+func (l *loop) leaseEnd() time.Duration {
+	if !l.leadership.active || l.leadership.confirmedAt == 0 {
+		return 0
 	}
-	return time.Duration(ts.Nano())
-}
-
-// holdsLease reports whether it is certain that no other leader has been elected.
-func (l *loop) holdsLease() bool {
-	duration := time.Duration(leaseFraction * float64(l.r.cfg.ElectionTicks) * float64(l.r.cfg.Tick))
-	return l.leadership.active && l.leadership.confirmedAt > 0 && timeSinceBoot()-l.leadership.confirmedAt < duration
+	return l.leadership.confirmedAt + time.Duration(leaseFraction*float64(l.r.cfg.ElectionTicks)*float64(l.r.cfg.Tick))
 }
 
 // requestConfirmation requests a confirmation of leadership by a quorum every
@@ -122,7 +116,7 @@
 	if err := l.node.ReadIndex(l.readToken); err != nil {
 		return
 	}
-	ls.confirmToken, ls.sentAt = l.readToken, timeSinceBoot()
+	ls.confirmToken, ls.sentAt = l.readToken, boottime.Now()
 }
 
 // handleConfirmation renews the lease if res confirms leadership. It reports
@@ -153,8 +147,8 @@
 		l.processReady()
 		l.updateLeadership()
 	}
-	if l.holdsLease() {
-		manager.Flush(time.Now())
+	if end := l.leaseEnd(); permit.IsValid(end, boottime.Now()) {
+		manager.Flush(time.Now(), end)
 	}
 }
 
--- a/internal/control/jobmanager_test.go
+++ b/internal/control/jobmanager_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/jobs"
 )
@@ -17,6 +18,8 @@
 	mu    sync.Mutex
 	terms []uint64
 	flood bool
+	// remaining holds for each Flush the time that was left of the lease.
+	remaining []time.Duration
 }
 
 func (m *fakeJobManager) StartLeading(term uint64, _ *jobs.State, _ time.Time) {
@@ -46,10 +49,21 @@
 	m.flood = flood
 }
 
+func (m *fakeJobManager) Flush(_ time.Time, leaseEnd time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remaining = append(m.remaining, leaseEnd-boottime.Now())
+}
+
+func (m *fakeJobManager) flushes() []time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]time.Duration(nil), m.remaining...)
+}
+
 func (m *fakeJobManager) StopLeading()                                        {}
 func (m *fakeJobManager) HandleEvent(any, time.Time)                          {}
 func (m *fakeJobManager) HandleApplied(jobs.Command, *fault.Error, time.Time) {}
-func (m *fakeJobManager) Flush(time.Time)                                     {}
 
 // Guards against a job manager that stops leading and leads again in the same term.
 // Its orders have the fencing token of the term, so executors could not distinguish
@@ -88,3 +102,24 @@
 		}
 	}
 }
+
+// Guards against orders whose permission lasts longer than the voters that confirmed
+// the leader elect no other, and against a leader whose orders have no time left.
+func TestFlushCarriesLeaseEnd(t *testing.T) {
+	managers := map[uint64]*fakeJobManager{}
+	var timeout time.Duration
+	c := newClusterWithConfig(t, func(cfg *Config) {
+		managers[cfg.ID] = &fakeJobManager{}
+		cfg.JobManager = managers[cfg.ID]
+	}, 1, 2, 3)
+	lead := c.leader()
+	timeout = time.Duration(lead.cfg.ElectionTicks) * lead.cfg.Tick
+	manager := managers[lead.cfg.ID]
+	require.Eventually(t, func() bool { return len(manager.flushes()) >= 20 }, testTimeout, time.Millisecond)
+	var longest time.Duration
+	for _, remaining := range manager.flushes() {
+		longest = max(longest, remaining)
+	}
+	require.LessOrEqual(t, longest, time.Duration(leaseFraction*float64(timeout)))
+	require.Positive(t, longest)
+}
--- a/internal/core/manager/call.go
+++ b/internal/core/manager/call.go
@@ -41,6 +41,11 @@
 	// Token is the fencing token: a receiver that has seen a higher one refuses
 	// the order.
 	Token uint64
+	// SendUntil is the end of the leader's permission to send the order: from then
+	// on another leader may have been elected. It is a time since the boot of the
+	// sending host, including time in suspension. The shell sets it; the manager
+	// does not know it.
+	SendUntil time.Duration
 
 	// Address and Instance identify the executor on the network, and Executor
 	// is the number of its incarnation.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -179,12 +179,16 @@
 	return out.Commands
 }
 
-// Flush sends the kept replies and orders and logs the kept events.
-func (l *Leader) Flush(time.Time) {
+// Flush sends the kept replies and orders and logs the kept events. The orders are
+// not sent after leaseEnd.
+func (l *Leader) Flush(_ time.Time, leaseEnd time.Duration) {
 	for _, r := range l.output.Replies {
 		l.sendReply(r)
 	}
 	if len(l.output.Calls) > 0 {
+		for i := range l.output.Calls {
+			l.output.Calls[i].SendUntil = leaseEnd
+		}
 		l.sendOrders(l.output.Calls)
 		l.output.Calls = nil
 	}
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -13,18 +13,24 @@
 	"laburnumdock/internal/logevent"
 )
 
+// leaseEnd is the end of the leader's lease in the tests.
+const leaseEnd = time.Hour
+
 // harness queues the events of a leader for the test, which acts as the control
 // loop.
 type harness struct {
 	leader  *Leader
 	records *jobs.State
 	events  chan any
+	sent    []manager.Call
 }
 
-// successSender is an OrderSender with which every order succeeds.
-type successSender struct{}
+// successSender is an OrderSender with which every order succeeds. It records the
+// orders.
+type successSender struct{ sent *[]manager.Call }
 
-func (successSender) Send(_ context.Context, _ int, calls []manager.Call, deliver func([]manager.Outcome)) {
+func (s successSender) Send(_ context.Context, _ int, calls []manager.Call, deliver func([]manager.Outcome)) {
+	*s.sent = append(*s.sent, calls...)
 	for _, c := range calls {
 		deliver([]manager.Outcome{{ID: c.ID, Kind: c.Kind, Verdict: manager.OK}})
 	}
@@ -34,7 +40,7 @@
 
 func newHarness() *harness {
 	h := &harness{records: jobs.New(), events: make(chan any, 100)}
-	h.leader = New(Config{Sender: successSender{}, Log: logevent.Discard(), Post: func(event any) bool {
+	h.leader = New(Config{Sender: successSender{sent: &h.sent}, Log: logevent.Discard(), Post: func(event any) bool {
 		h.events <- event
 		return true
 	}})
@@ -48,7 +54,7 @@
 		h.leader.HandleApplied(c, h.records.Apply(c), time.Now())
 	}
 	h.leader.Step(time.Now())
-	h.leader.Flush(time.Now())
+	h.leader.Flush(time.Now(), leaseEnd)
 }
 
 func (h *harness) request(t *testing.T, q manager.Request) <-chan error {
@@ -110,3 +116,17 @@
 
 // handleNextAsFollower handles one event of a replica that does not lead.
 func (h *harness) handleNextAsFollower() { h.leader.HandleEvent(<-h.events, time.Now()) }
+
+// Guards against an order that leaves without the end of the leader's permission, or
+// with that of another time.
+func TestOrdersCarryLeaseEnd(t *testing.T) {
+	h := newHarness()
+	require.Nil(t, h.records.Apply(jobs.Command{Configure: &jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}}}))
+	h.leader.StartLeading(1, h.records, time.Now())
+	require.True(t, h.leader.Report([]manager.Report{{ID: "i-1", StartedAt: 1, Sequence: 1, Host: "m-1", Pool: "p", Address: "a", Zone: "z", Clock: 1}}))
+	h.handleNext()
+	require.NotEmpty(t, h.sent)
+	for _, c := range h.sent {
+		require.Equal(t, leaseEnd, c.SendUntil, c.Kind)
+	}
+}
--- a/internal/orders/distributed.go
+++ b/internal/orders/distributed.go
@@ -35,8 +35,8 @@
 
 // DistributedSender distributes the orders to executors over other replicas while
 // there are many executors; each executor is assigned to one replica. It sends
-// the orders that no replica accepts from this process. An order that a replica
-// sends late is fenced by its token, like one that the network delayed.
+// the orders that no replica accepts from this process. A replica sends no order
+// after its permission has ended. One that the network delays is fenced by its token.
 type DistributedSender struct {
 	cfg    DistributedConfig
 	client *http.Client
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -8,14 +8,16 @@
 	"sync"
 	"time"
 
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/core/manager"
+	"laburnumdock/internal/core/permit"
 )
 
 // PlatformClient sends orders to executors, the platform and the advisor. Any
 // goroutine may use it.
 type PlatformClient interface {
 	// Do sends one order and returns its outcome, which states what is known of
-	// its effect.
+	// its effect. It sends nothing once the order's permission has ended.
 	Do(ctx context.Context, c manager.Call) manager.Outcome
 }
 
@@ -39,8 +41,12 @@
 // ended.
 func (l *LocalSender) Wait() { l.group.Wait() }
 
-// do sends one order within its timeout.
+// do sends one order within its timeout, unless its permission has ended: the
+// process may have been suspended, or this goroutine delayed, since it was given.
 func do(ctx context.Context, client PlatformClient, c manager.Call) manager.Outcome {
+	if !permit.IsValid(c.SendUntil, boottime.Now()) {
+		return newOutcome(&c, manager.NotSent)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	sent := time.Now()
@@ -48,3 +54,9 @@
 	o.ID, o.Kind, o.SentAt, o.AnsweredAt = c.ID, c.Kind, sent, time.Now()
 	return o
 }
+
+// newOutcome returns an outcome without an answer.
+func newOutcome(c *manager.Call, v manager.Verdict) manager.Outcome {
+	now := time.Now()
+	return manager.Outcome{ID: c.ID, Kind: c.Kind, Verdict: v, SentAt: now, AnsweredAt: now}
+}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	pb "laburnumdock/gen/laburnumdock/v1"
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/core/jobs"
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/logevent"
@@ -51,19 +57,27 @@
 // function that stops it.
 func startReplica(t *testing.T, client PlatformClient) (url string, stop func()) {
 	stopping := make(chan struct{})
+	url, closeServer := startHandler(t, &Service{Client: client, Stopping: stopping})
+	stop = sync.OnceFunc(func() {
+		close(stopping)
+		closeServer()
+	})
+	t.Cleanup(stop)
+	return url, stop
+}
+
+// startHandler starts a server with an order service and returns its URL and a
+// function that stops it.
+func startHandler(t *testing.T, service laburnumdockv1connect.OrderServiceHandler) (url string, stop func()) {
 	mux := http.NewServeMux()
-	mux.Handle(laburnumdockv1connect.NewOrderServiceHandler(&Service{Client: client, Stopping: stopping}))
+	mux.Handle(laburnumdockv1connect.NewOrderServiceHandler(service))
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
 	server.Config.Protocols.SetHTTP1(true)
 	server.Start()
-	stop = sync.OnceFunc(func() {
-		close(stopping)
-		server.Close()
-	})
-	t.Cleanup(stop)
-	return server.URL, stop
+	t.Cleanup(server.Close)
+	return server.URL, server.Close
 }
 
 // fixture is a DistributedSender with its local platform and the outcomes that it
@@ -107,7 +121,7 @@
 
 func startCall(id uint64, address string) manager.Call {
 	return manager.Call{
-		ID: id, Kind: manager.CallStart, Timeout: 500 * time.Millisecond, Token: 9, Address: address, Instance: "i", Executor: 1,
+		ID: id, Kind: manager.CallStart, Timeout: 500 * time.Millisecond, SendUntil: boottime.Now() + waitTimeout, Token: 9, Address: address, Instance: "i", Executor: 1,
 		LeaseUntil: 1000, Task: jobs.TaskRef{Job: "0123456789abcdef", Step: 1, Index: 2}, Run: 3, Payload: "spec", Checkpoint: "c", Ticket: "t",
 	}
 }
@@ -126,7 +140,11 @@
 	want := (&fakePlatform{}).Do(f.ctx, call)
 	want.ID, want.Kind, want.SentAt, want.AnsweredAt = 1, manager.CallStart, o.SentAt, o.AnsweredAt
 	require.Equal(t, want, o)
-	call.Executor = 0 // The number only selects the replica and is not sent to it.
+	require.Len(t, remote.orders, 1)
+	// The end of the permission is on the replica's clock, which is the same here.
+	require.LessOrEqual(t, remote.orders[0].SendUntil, call.SendUntil)
+	require.Greater(t, remote.orders[0].SendUntil, call.SendUntil-time.Second)
+	call.Executor, call.SendUntil = 0, remote.orders[0].SendUntil // The number only selects the replica and is not sent to it.
 	require.Equal(t, []manager.Call{call}, remote.orders)
 	require.Zero(t, f.local.count())
 }
@@ -137,7 +155,7 @@
 	remote := &fakePlatform{}
 	url, _ := startReplica(t, remote)
 	f := newFixture(t, url)
-	f.send(manager.Call{ID: 1, Kind: manager.CallMoveHost, Timeout: waitTimeout})
+	f.send(manager.Call{ID: 1, Kind: manager.CallMoveHost, Timeout: waitTimeout, SendUntil: boottime.Now() + waitTimeout})
 	require.Equal(t, manager.OK, f.next(t).Verdict)
 	require.Zero(t, remote.count())
 }
@@ -159,23 +177,144 @@
 	require.Equal(t, 1, f.local.count())
 }
 
+// silentReplica is an order service that reports its clock, if reportsClock is set,
+// and returns no outcomes.
+type silentReplica struct {
+	laburnumdockv1connect.UnimplementedOrderServiceHandler
+	reportsClock bool
+	release      chan struct{}
+}
+
+func (s silentReplica) CarryOut(_ context.Context, stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse]) error {
+	if s.reportsClock {
+		if err := stream.Send(&pb.CarryOutResponse{ClockNs: int64(boottime.Now())}); err != nil {
+			return err
+		}
+	}
+	<-s.release
+	return nil
+}
+
 // Guards against a leader that waits forever for a replica that accepts orders and
-// returns no outcomes.
+// returns no outcomes, or that does not report its clock. An order that waited for
+// the clock was not sent.
 func TestUnresponsiveReplicaIsSuspended(t *testing.T) {
-	release := make(chan struct{})
-	mux := http.NewServeMux()
-	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) { <-release })
-	server := httptest.NewUnstartedServer(mux)
-	server.Config.Protocols = new(http.Protocols)
-	server.Config.Protocols.SetUnencryptedHTTP2(true)
-	server.Start()
-	t.Cleanup(server.Close)
-	t.Cleanup(func() { close(release) })
-	f := newFixture(t, server.URL)
+	for reportsClock, verdict := range map[bool]manager.Verdict{true: manager.NoAnswer, false: manager.NotSent} {
+		release := make(chan struct{})
+		url, _ := startHandler(t, silentReplica{reportsClock: reportsClock, release: release})
+		t.Cleanup(func() { close(release) })
+		f := newFixture(t, url)
+		call := startCall(1, "a")
+		call.SendUntil = boottime.Now() + 400*time.Millisecond
+		f.send(call)
+		require.Equal(t, verdict, f.next(t).Verdict)
+		f.send(startCall(2, "a"))
+		require.Equal(t, manager.OK, f.next(t).Verdict)
+	}
+}
+
+// Guards against an order that is sent after the leader's permission has ended,
+// because the process was suspended or the goroutine of the order was delayed after
+// the leader checked its lease.
+func TestOrderIsNotSentAfterPermission(t *testing.T) {
+	f := newFixture(t)
+	for _, kind := range []manager.CallKind{manager.CallMoveHost, manager.CallUpkeepHost, manager.CallStart} {
+		for _, until := range []time.Duration{0, boottime.Now()} {
+			f.send(manager.Call{ID: 1, Kind: kind, Timeout: waitTimeout, SendUntil: until})
+			o := f.next(t)
+			require.Equal(t, manager.NotSent, o.Verdict)
+			require.Equal(t, kind, o.Kind)
+			require.False(t, o.SentAt.IsZero())
+		}
+	}
+	require.Zero(t, f.local.count())
+}
+
+// delayedLink forwards connections to a server. While it is held, what the client
+// sends stays in the link, as it does in the socket buffer of a suspended replica.
+type delayedLink struct {
+	mu   sync.Mutex
+	held chan struct{}
+}
+
+func (l *delayedLink) hold() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := make(chan struct{})
+	l.held = held
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.held = nil
+		close(held)
+	}
+}
+
+func (l *delayedLink) Write(c net.Conn, data []byte) error {
+	l.mu.Lock()
+	held := l.held
+	l.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	_, err := c.Write(data)
+	return err
+}
+
+// start returns the URL of the link to the server at url.
+func (l *delayedLink) start(t *testing.T, url string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			if err != nil {
+				client.Close()
+				return
+			}
+			go func() {
+				_, _ = io.Copy(client, server)
+				client.Close()
+			}()
+			go func() {
+				defer server.Close()
+				buffer := make([]byte, 1<<16)
+				for {
+					n, err := client.Read(buffer)
+					if err != nil || l.Write(server, buffer[:n]) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// Guards against a replica that sends an order after the leader's permission has
+// ended, because the replica was suspended and found the batch in its socket buffer.
+func TestOrderDeliveredLateIsNotSent(t *testing.T) {
+	remote := &fakePlatform{}
+	url, _ := startReplica(t, remote)
+	link := &delayedLink{}
+	f := newFixture(t, link.start(t, url))
 	f.send(startCall(1, "a"))
-	require.Equal(t, manager.NoAnswer, f.next(t).Verdict)
-	f.send(startCall(2, "a"))
 	require.Equal(t, manager.OK, f.next(t).Verdict)
+	require.Equal(t, 1, remote.count())
+
+	release := link.hold()
+	call := startCall(2, "a")
+	call.Timeout, call.SendUntil = waitTimeout, boottime.Now()+200*time.Millisecond
+	f.send(call)
+	time.Sleep(300 * time.Millisecond)
+	release()
+	require.Equal(t, manager.NotSent, f.next(t).Verdict)
+	require.Equal(t, 1, remote.count())
 }
 
 // Guards against streams to other replicas while there are few enough executors
--- a/internal/orders/proxy.go
+++ b/internal/orders/proxy.go
@@ -10,7 +10,9 @@
 
 	pb "laburnumdock/gen/laburnumdock/v1"
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/core/manager"
+	"laburnumdock/internal/core/permit"
 	"laburnumdock/internal/logevent"
 )
 
@@ -26,6 +28,7 @@
 
 var (
 	errOverdue   = errors.New("order outcome is overdue")
+	errNoClock   = errors.New("the replica did not report its clock in time")
 	errQueueFull = errors.New("queue of outgoing orders is full")
 )
 
@@ -102,35 +105,40 @@
 // a batch.
 func outcomesWithVerdict(batch []manager.Call, v manager.Verdict) []manager.Outcome {
 	list := make([]manager.Outcome, 0, len(batch))
-	now := time.Now()
-	for _, c := range batch {
-		list = append(list, manager.Outcome{ID: c.ID, Kind: c.Kind, Verdict: v, SentAt: now, AnsweredAt: now})
+	for i := range batch {
+		list = append(list, newOutcome(&batch[i], v))
 	}
 	return list
 }
 
-// pendingOrder is an order without an outcome.
+// pendingOrder is an order without an outcome. isPassedOn is set once it may have
+// been sent to the replica.
 type pendingOrder struct {
-	call   manager.Call
-	sentAt time.Time
+	call       manager.Call
+	sentAt     time.Time
+	isPassedOn bool
 }
 
 // orderStream is one open stream with its orders that have no outcome yet.
 type orderStream struct {
 	proxy    *proxy
 	pending  map[uint64]pendingOrder
-	outgoing chan []manager.Call
+	outgoing chan []*pb.Order
+	// clock relates the replica's clock to the clock of this host. Until the replica
+	// has reported its clock, orders wait in waiting.
+	clock   permit.ClockSample
+	waiting [][]manager.Call
 }
 
 // runStream sends orders and delivers their outcomes until the stream fails.
 func (p *proxy) runStream(ctx context.Context, first []manager.Call) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &orderStream{proxy: p, pending: map[uint64]pendingOrder{}, outgoing: make(chan []manager.Call, proxyQueueLength)}
+	s := &orderStream{proxy: p, pending: map[uint64]pendingOrder{}, outgoing: make(chan []*pb.Order, proxyQueueLength)}
 	defer s.failPending()
 	stream := p.client.CarryOut(ctx)
 	errs := make(chan error, 2)
-	received := make(chan []*pb.OrderOutcome, proxyQueueLength)
+	received := make(chan response, proxyQueueLength)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer func() {
@@ -141,7 +149,7 @@
 		}
 	}()
 	group.Go(func() { errs <- sendOrders(ctx, stream, s.outgoing) })
-	group.Go(func() { errs <- receiveOutcomes(ctx, stream, received) })
+	group.Go(func() { errs <- receiveResponses(ctx, stream, received) })
 	ticker := time.NewTicker(overdueCheckInterval)
 	defer ticker.Stop()
 	if err := s.enqueue(first); err != nil {
@@ -154,10 +162,10 @@
 			err = ctx.Err()
 		case batch := <-p.queue:
 			err = s.enqueue(batch)
-		case list := <-received:
-			s.handleOutcomes(list)
+		case r := <-received:
+			err = s.handleResponse(r)
 		case now := <-ticker.C:
-			err = s.checkOverdue(now)
+			err = s.checkOverdue(now, boottime.Now())
 		case err = <-errs:
 		}
 		if err != nil {
@@ -166,18 +174,61 @@
 	}
 }
 
-// enqueue records a batch as pending and passes it to the goroutine that sends.
+// enqueue records a batch as pending and passes it on once the replica's clock is
+// known.
 func (s *orderStream) enqueue(batch []manager.Call) error {
 	now := time.Now()
 	for _, c := range batch {
 		s.pending[c.ID] = pendingOrder{call: c, sentAt: now}
 	}
+	if s.clock != (permit.ClockSample{}) {
+		return s.passOn(batch)
+	}
+	if len(s.waiting) == proxyQueueLength {
+		return errQueueFull
+	}
+	s.waiting = append(s.waiting, batch)
+	return nil
+}
+
+// passOn passes a batch to the goroutine that sends. The end of each permission is
+// converted to the replica's clock, so that a batch that is delivered late, or a
+// suspension of the replica, does not extend it.
+func (s *orderStream) passOn(batch []manager.Call) error {
+	list := make([]*pb.Order, 0, len(batch))
+	for i := range batch {
+		list = append(list, orderToWire(&batch[i], s.clock.EndAtRemote(batch[i].SendUntil)))
+	}
 	select {
-	case s.outgoing <- batch:
-		return nil
+	case s.outgoing <- list:
 	default:
 		return errQueueFull
 	}
+	for _, c := range batch {
+		order := s.pending[c.ID]
+		order.isPassedOn = true
+		s.pending[c.ID] = order
+	}
+	return nil
+}
+
+// handleResponse records the replica's clock and delivers outcomes.
+func (s *orderStream) handleResponse(r response) error {
+	if remote := time.Duration(r.message.GetClockNs()); remote > 0 {
+		s.clock = permit.Better(s.clock, permit.ClockSample{Remote: remote, ReceivedAt: r.receivedAt}, r.receivedAt)
+	}
+	s.handleOutcomes(r.message.GetOutcomes())
+	if s.clock == (permit.ClockSample{}) {
+		return nil
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, batch := range waiting {
+		if err := s.passOn(batch); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (s *orderStream) handleOutcomes(list []*pb.OrderOutcome) {
@@ -198,9 +249,14 @@
 	s.proxy.deliver(outcomes)
 }
 
-// checkOverdue returns errOverdue if an outcome should have arrived by now.
-func (s *orderStream) checkOverdue(now time.Time) error {
+// checkOverdue returns errOverdue if an outcome should have arrived by now, and
+// errNoClock if the permission of an order ended while it waited for the replica's
+// clock. sinceBoot is now on the clock of boottime.
+func (s *orderStream) checkOverdue(now time.Time, sinceBoot time.Duration) error {
 	for _, order := range s.pending {
+		if !order.isPassedOn && !permit.IsValid(order.call.SendUntil, sinceBoot) {
+			return errNoClock
+		}
 		if now.Sub(order.sentAt) > order.call.Timeout+outcomeGrace {
 			return errOverdue
 		}
@@ -209,20 +265,29 @@
 }
 
 // failPending gives the orders without an outcome the verdict NoAnswer, because
-// they may have taken effect.
+// they may have taken effect. Those that were never passed on were not sent.
 func (s *orderStream) failPending() {
-	rest := make([]manager.Call, 0, len(s.pending))
+	rest := make([]manager.Outcome, 0, len(s.pending))
 	for _, order := range s.pending {
-		rest = append(rest, order.call)
+		verdict := manager.NotSent
+		if order.isPassedOn {
+			verdict = manager.NoAnswer
+		}
+		rest = append(rest, newOutcome(&order.call, verdict))
 	}
-	s.proxy.deliver(outcomesWithVerdict(rest, manager.NoAnswer))
+	s.proxy.deliver(rest)
 }
 
 // clientStream is the leader's end of a stream.
 type clientStream = connect.BidiStreamForClient[pb.CarryOutRequest, pb.CarryOutResponse]
 
-// sendOrders sends all queued batches as one message.
-func sendOrders(ctx context.Context, stream *clientStream, outgoing <-chan []manager.Call) error {
+// sendOrders opens the stream, so that the replica reports its clock, and sends all
+// queued batches as one message.
+func sendOrders(ctx context.Context, stream *clientStream, outgoing <-chan []*pb.Order) error {
+	// Without a message, Send sends only the header of the request.
+	if err := stream.Send(nil); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -230,9 +295,7 @@
 		case batch := <-outgoing:
 			req := &pb.CarryOutRequest{}
 			for more := true; more; {
-				for i := range batch {
-					req.Orders = append(req.Orders, orderToWire(&batch[i]))
-				}
+				req.Orders = append(req.Orders, batch...)
 				select {
 				case batch = <-outgoing:
 				default:
@@ -246,7 +309,14 @@
 	}
 }
 
-func receiveOutcomes(ctx context.Context, stream *clientStream, received chan<- []*pb.OrderOutcome) error {
+// response is a message from a replica with the time since boot at which it was
+// read.
+type response struct {
+	message    *pb.CarryOutResponse
+	receivedAt time.Duration
+}
+
+func receiveResponses(ctx context.Context, stream *clientStream, received chan<- response) error {
 	for {
 		resp, err := stream.Receive()
 		if err != nil {
@@ -255,7 +325,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case received <- resp.GetOutcomes():
+		case received <- response{message: resp, receivedAt: boottime.Now()}:
 		}
 	}
 }
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -7,6 +7,7 @@
 
 	pb "laburnumdock/gen/laburnumdock/v1"
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
+	"laburnumdock/internal/boottime"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/manager"
 )
@@ -14,7 +15,9 @@
 // outcomeQueueLength bounds the outcomes that wait for the stream to the leader.
 const outcomeQueueLength = 1024
 
-// Service sends orders to executors for a leader on another host.
+// Service sends orders to executors for a leader on another host. It sends an order
+// only before its permission ends on this host's clock, however late the order was
+// delivered.
 type Service struct {
 	laburnumdockv1connect.UnimplementedOrderServiceHandler
 	Client PlatformClient
@@ -71,8 +74,12 @@
 	}
 }
 
-// sendOutcomes sends all queued outcomes as one message.
+// sendOutcomes reports this host's clock, by which the leader dates the ends of its
+// permissions, and sends all queued outcomes as one message.
 func sendOutcomes(ctx context.Context, stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse], outcomes <-chan *pb.OrderOutcome) error {
+	if err := stream.Send(&pb.CarryOutResponse{ClockNs: int64(boottime.Now())}); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,6 +94,7 @@
 					more = false
 				}
 			}
+			resp.ClockNs = int64(boottime.Now())
 			if err := stream.Send(resp); err != nil {
 				return err
 			}
--- a/internal/orders/wire.go
+++ b/internal/orders/wire.go
@@ -8,11 +8,13 @@
 	"laburnumdock/internal/core/manager"
 )
 
-func orderToWire(c *manager.Call) *pb.Order {
+// orderToWire encodes an order that the receiver may send until sendUntil on its own
+// clock.
+func orderToWire(c *manager.Call, sendUntil time.Duration) *pb.Order {
 	m := &pb.Order{
 		Id: c.ID, Kind: uint32(c.Kind), TimeoutMs: c.Timeout.Milliseconds(), Token: c.Token, Address: c.Address, Instance: c.Instance,
 		Until: c.LeaseUntil, Seen: c.RecordedEnd, WaitMs: c.MaxWait.Milliseconds(), Run: int64(c.Run), Text: c.Payload, Saved: c.Checkpoint,
-		Ticket: c.Ticket, Percent: int64(c.Percent),
+		Ticket: c.Ticket, Percent: int64(c.Percent), SendUntilNs: int64(sendUntil),
 	}
 	if c.Task.Job != "" {
 		m.Task = c.Task.String()
@@ -25,7 +27,7 @@
 		ID: m.GetId(), Kind: manager.CallKind(m.GetKind()), Timeout: time.Duration(m.GetTimeoutMs()) * time.Millisecond,
 		Token: m.GetToken(), Address: m.GetAddress(), Instance: m.GetInstance(), LeaseUntil: m.GetUntil(), RecordedEnd: m.GetSeen(),
 		MaxWait: time.Duration(m.GetWaitMs()) * time.Millisecond, Run: int(m.GetRun()), Payload: m.GetText(), Checkpoint: m.GetSaved(),
-		Ticket: m.GetTicket(), Percent: int(m.GetPercent()),
+		Ticket: m.GetTicket(), Percent: int(m.GetPercent()), SendUntil: time.Duration(m.GetSendUntilNs()),
 	}
 	if m.GetTask() == "" {
 		return c, true
