Stop the job manager when a leadership transfer begins

Cause: a leader that transfers its leadership because of a slow disk stayed active until it heard of the new term. The target is elected without waiting for an election timeout, so the lease of the old leader was still valid when the new one led. Unless it had commands to propose, which fail during a transfer, the old leader went on to send replies and orders.

Change: updateLeadership counts a leader with a transfer in progress as not leading (raft.Node.IsTransferring, a new accessor), so the manager stops in the iteration in which the transfer begins. A transfer that fails ends in a new term, as it did before for a leader with commands. Stopping cancels the orders in flight; the guard of the platform client refuses writes after that, which net/http does not do between connection set-up and the write.

Measured: TestLeaderStopsActingWhenTransferBegins fails without the condition: the manager led until the replica lost its role.

What remains: the message that starts the election of the target leaves in processReady, before stepJobManager stops the manager.

--- a/internal/control/jobmanager.go
+++ b/internal/control/jobmanager.go
@@ -152,10 +152,12 @@
 	}
 }
 
-// updateLeadership starts or stops the job manager after a change of leadership.
+// updateLeadership starts or stops the job manager after a change of leadership. The
+// manager stops when a transfer begins: the target may lead before this replica
+// learns of it, and before the lease has expired.
 func (l *loop) updateLeadership() {
 	ls := &l.leadership
-	isLeader := l.node.Role() == raft.Leader && l.failed == nil && !l.stopping
+	isLeader := l.node.Role() == raft.Leader && !l.node.IsTransferring() && l.failed == nil && !l.stopping
 	switch {
 	case ls.active && (!isLeader || ls.term != l.node.Term()):
 		ls.active = false
--- a/internal/control/jobmanager_test.go
+++ b/internal/control/jobmanager_test.go
@@ -17,7 +17,12 @@
 type fakeJobManager struct {
 	mu    sync.Mutex
 	terms []uint64
-	flood bool
+	// leads is set from StartLeading to StopLeading. stoppedAsLeader reports whether
+	// the replica was the leader at the last StopLeading, if replica is set.
+	leads           bool
+	stoppedAsLeader bool
+	replica         *Replica
+	flood           bool
 	// remaining holds for each Flush the time that was left of the lease.
 	remaining []time.Duration
 }
@@ -26,6 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.terms = append(m.terms, term)
+	m.leads = true
 }
 
 func (m *fakeJobManager) startedTerms() []uint64 {
@@ -61,7 +67,32 @@
 	return append([]time.Duration(nil), m.remaining...)
 }
 
-func (m *fakeJobManager) StopLeading()                                        {}
+func (m *fakeJobManager) StopLeading() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leads = false
+	m.stoppedAsLeader = m.replica != nil && m.replica.IsLeader()
+}
+
+// setReplica sets the replica whose role StopLeading records.
+func (m *fakeJobManager) setReplica(r *Replica) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.replica = r
+}
+
+func (m *fakeJobManager) hasStoppedAsLeader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stoppedAsLeader
+}
+
+func (m *fakeJobManager) isLeading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leads
+}
+
 func (m *fakeJobManager) HandleEvent(any, time.Time)                          {}
 func (m *fakeJobManager) HandleApplied(jobs.Command, *fault.Error, time.Time) {}
 
@@ -123,3 +154,38 @@
 	require.LessOrEqual(t, longest, time.Duration(leaseFraction*float64(timeout)))
 	require.Positive(t, longest)
 }
+
+// transferEvent begins a leadership transfer and reports whether one began.
+type transferEvent struct{ began chan bool }
+
+func (e transferEvent) handle(l *loop) { e.began <- l.node.TransferLeadership(0) }
+func (e transferEvent) refuse(error)   { e.began <- false }
+
+// Guards against orders and replies of a leader that transfers its leadership: its
+// lease is still valid when the target leads, so both would act. The other replicas
+// are partitioned, so that the target is not elected and this replica does not learn
+// of a later term.
+func TestLeaderStopsActingWhenTransferBegins(t *testing.T) {
+	managers := map[uint64]*fakeJobManager{}
+	c := newClusterWithConfig(t, func(cfg *Config) {
+		managers[cfg.ID] = &fakeJobManager{}
+		cfg.JobManager = managers[cfg.ID]
+	}, 1, 2, 3)
+	lead := c.leader()
+	manager := managers[lead.cfg.ID]
+	require.Eventually(t, func() bool { return len(manager.flushes()) > 0 }, testTimeout, time.Millisecond)
+	manager.setReplica(lead.Replica)
+	for _, run := range c.replicas {
+		if run != lead {
+			run.faults.setPartitioned(true)
+		}
+	}
+	began := make(chan bool, 1)
+	lead.events <- transferEvent{began}
+	require.True(t, <-began)
+	require.Eventually(t, func() bool { return !manager.isLeading() }, testTimeout, time.Millisecond)
+	require.True(t, manager.hasStoppedAsLeader())
+	flushed := len(manager.flushes())
+	require.Eventually(t, func() bool { return !lead.IsLeader() }, testTimeout, time.Millisecond)
+	require.Len(t, manager.flushes(), flushed)
+}
--- a/internal/core/raft/election.go
+++ b/internal/core/raft/election.go
@@ -153,6 +153,11 @@
 	return true
 }
 
+// IsTransferring reports whether a leadership transfer is in progress. The target is
+// elected without waiting for an election timeout, so from then on a confirmation by
+// a quorum does not prove that there is no other leader.
+func (n *Node) IsTransferring() bool { return n.transferee != 0 }
+
 // StepDown ends the leadership of this replica, unless a leadership transfer is in
 // progress.
 func (n *Node) StepDown() {
