Report no refusal after an attempt whose answer was lost

Cause: the client of the leader retried a request whose answer was lost and passed on whatever the last attempt said. A job that the first attempt may have handed in was answered with 404 or 503 once its queue or the configuration was gone, or with an error kind that is not retried, and then ran. Errors of the leader whose table entry says that the request may have run (deadline exceeded, storage failed, internal) ended as unavailable, which is 503 to callers.

Change: withLeader reports whether an attempt may have taken effect, by the table of internal/answer. Then an error is outcome_unknown, and so is a refusal of a job, a configuration or a wave. Replies to reads and cancellations are passed on: they hold whatever happened before.

--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -296,7 +296,7 @@
 		return manager.Reply{}, err
 	}
 	var reply manager.Reply
-	err = c.withLeader(ctx, func(ctx context.Context, url string) error {
+	mayHaveRun, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
 		msg.ConfigVersion = c.configVersion.Load()
 		resp, err := laburnumdockv1connect.NewJobServiceClient(c.http, url).Ask(ctx, connect.NewRequest(msg))
 		if err != nil {
@@ -305,10 +305,25 @@
 		reply = replyFromWire(resp.Msg)
 		return nil
 	})
-	if err == nil {
-		c.advanceConfigVersion(reply.ConfigVersion)
+	if err != nil {
+		return reply, err
+	}
+	c.advanceConfigVersion(reply.ConfigVersion)
+	if mayHaveRun && isRefusal(q.Kind, reply.Kind) {
+		return manager.Reply{}, fault.New(fault.OutcomeUnknown, "the request was refused after an attempt that may have taken effect")
+	}
+	return reply, nil
+}
+
+// isRefusal reports whether a reply tells the caller that a request had no effect,
+// although it would have one if it was accepted.
+func isRefusal(request manager.RequestKind, reply manager.ReplyKind) bool {
+	switch request {
+	case manager.RequestSubmit, manager.RequestConfigure, manager.RequestStartWave:
+		return reply != manager.ReplyAccepted
+	default:
+		return false
 	}
-	return reply, err
 }
 
 // advanceConfigVersion records a newer version of the configuration. Later
@@ -328,25 +343,27 @@
 	for i := range reports {
 		msg.Reports = append(msg.Reports, reportToWire(&reports[i]))
 	}
-	return c.withLeader(ctx, func(ctx context.Context, url string) error {
+	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
 		_, err := laburnumdockv1connect.NewJobServiceClient(c.http, url).Report(ctx, connect.NewRequest(msg))
 		return err
 	})
+	return err
 }
 
 // Join asks the leader to add a replica to the cell.
 func (c *Client) Join(ctx context.Context, id uint64, address string) error {
-	return c.withLeader(ctx, func(ctx context.Context, url string) error {
+	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
 		_, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Join(ctx, connect.NewRequest(&pb.JoinRequest{Id: id, Address: address}))
 		return err
 	})
+	return err
 }
 
 // Members returns the addresses of the cell's members by ID, as known to the
 // leader.
 func (c *Client) Members(ctx context.Context) (map[uint64]string, error) {
 	members := map[uint64]string{}
-	err := c.withLeader(ctx, func(ctx context.Context, url string) error {
+	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
 		resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Members(ctx, connect.NewRequest(&pb.MembersRequest{}))
 		if err != nil {
 			return err
@@ -363,31 +380,36 @@
 }
 
 // withLeader calls attempt with the URL of the current leader until it succeeds,
-// fails with an error that is not retryable, LeaderWait has passed or ctx ends.
-func (c *Client) withLeader(ctx context.Context, attempt func(context.Context, string) error) error {
+// fails with an error that is not retryable, LeaderWait has passed or ctx ends. It
+// reports whether a failed attempt may have taken effect; an error is then
+// outcome_unknown, whatever the last attempt returned.
+func (c *Client) withLeader(ctx context.Context, attempt func(context.Context, string) error) (mayHaveRun bool, err error) {
 	wait := time.NewTimer(c.cfg.LeaderWait)
 	defer wait.Stop()
-	mayHaveRun := false
 	for {
 		l := c.leader.Load()
 		if l.url != "" {
 			err := c.attempt(ctx, l, attempt)
 			if err == nil {
-				return nil
+				return mayHaveRun, nil
 			}
-			if !isRetryable(err) {
-				return err
+			mayHaveRun = mayHaveRun || answer.For(fault.KindOf(err)).Ran != fault.RanNo
+			switch {
+			case isRetryable(err):
+				c.requestDiscovery()
+			case mayHaveRun:
+				return true, unansweredError(true, err.Error())
+			default:
+				return false, err
 			}
-			mayHaveRun = mayHaveRun || fault.KindOf(err) == fault.OutcomeUnknown
-			c.requestDiscovery()
 		}
 		select {
 		case <-l.replaced:
 		case <-time.After(retryDelay):
 		case <-wait.C:
-			return unansweredError(mayHaveRun, "no leader has answered in time")
+			return mayHaveRun, unansweredError(mayHaveRun, "no leader has answered in time")
 		case <-ctx.Done():
-			return unansweredError(mayHaveRun, "the deadline has passed")
+			return mayHaveRun, unansweredError(mayHaveRun, "the deadline has passed")
 		}
 	}
 }
