--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -328,3 +329,74 @@
 	require.Equal(t, manager.OK, f.next(t).Verdict)
 	require.Zero(t, remote.count())
 }
+
+// brokenReplica is an order service that breaks its stream. It counts the orders that
+// it read.
+type brokenReplica struct {
+	laburnumdockv1connect.UnimplementedOrderServiceHandler
+	breakStream func(r *brokenReplica, stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse]) error
+	orders      atomic.Int64
+}
+
+func (r *brokenReplica) CarryOut(_ context.Context, stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse]) error {
+	return r.breakStream(r, stream)
+}
+
+// receive reports the clock and reads one batch of orders.
+func (r *brokenReplica) receive(stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse]) (uint64, error) {
+	if err := stream.Send(&pb.CarryOutResponse{ClockNs: int64(boottime.Now())}); err != nil {
+		return 0, err
+	}
+	req, err := stream.Receive()
+	if err != nil {
+		return 0, err
+	}
+	r.orders.Add(int64(len(req.GetOrders())))
+	return req.GetOrders()[0].GetId(), nil
+}
+
+// Guards against an order that is sent again, or reported as not sent, after the
+// stream to a replica broke, and against a result that is taken from a broken
+// outcome. An order that the replica never got is not sent.
+func TestBrokenStreams(t *testing.T) {
+	type stream = *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse]
+	for name, c := range map[string]struct {
+		breakStream func(r *brokenReplica, s stream) error
+		verdict     manager.Verdict
+		orders      int64
+	}{
+		"reset at once": {func(*brokenReplica, stream) error { panic(http.ErrAbortHandler) }, manager.NotSent, 0},
+		"refused at once": {func(*brokenReplica, stream) error {
+			return connect.NewError(connect.CodeUnavailable, errOverdue)
+		}, manager.NotSent, 0},
+		"reset with an order": {func(r *brokenReplica, s stream) error {
+			_, err := r.receive(s)
+			if err != nil {
+				return err
+			}
+			panic(http.ErrAbortHandler)
+		}, manager.NoAnswer, 1},
+		"ended with an order": {func(r *brokenReplica, s stream) error {
+			_, err := r.receive(s)
+			return err
+		}, manager.NoAnswer, 1},
+		"malformed outcome": {func(r *brokenReplica, s stream) error {
+			id, err := r.receive(s)
+			if err != nil {
+				return err
+			}
+			rows := []*pb.RunningTask{{Task: "nonsense"}}
+			return s.Send(&pb.CarryOutResponse{Outcomes: []*pb.OrderOutcome{{Id: id, Verdict: uint32(manager.OK), Running: rows}}})
+		}, manager.NoAnswer, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica := &brokenReplica{breakStream: c.breakStream}
+			url, _ := startHandler(t, replica)
+			f := newFixture(t, url)
+			f.send(startCall(1, "a"))
+			require.Equal(t, c.verdict, f.next(t).Verdict)
+			require.Equal(t, c.orders, replica.orders.Load())
+			require.Zero(t, f.local.count())
+		})
+	}
+}
