--- a/internal/cell/disk_test.go
+++ b/internal/cell/disk_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumdock/internal/control"
 	"laburnumdock/internal/core/jobs"
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/wal/waltest"
@@ -94,3 +95,43 @@
 	stop()
 	require.NoError(t, <-ended)
 }
+
+// Guards against a replica that was removed from the cell while its disk was full and
+// whose process then ends, or never joins again.
+func TestReplicaRemovedWhileDiskIsFullJoinsAgain(t *testing.T) {
+	s := newTestCell(t, 3)
+	urls := s.startFive()
+	url := s.addNode()
+	n := s.nodes[url]
+	ctx, stop := context.WithCancel(t.Context())
+	cells := make(chan *Cell, 10)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- RunUntilStopped(ctx, s.config(n, false), func(ctx context.Context, c *Cell) error {
+			n.handler.set(c.Handler())
+			cells <- c
+			return c.Run(ctx)
+		})
+	}()
+	s.waitForVoters(append(urls, url)...)
+	first := <-cells
+	// A replica that does not know yet that it votes asks to join under the same ID.
+	require.Eventually(t, func() bool { return first.replica.Status().Members.IsVoter(first.id) }, waitTimeout, time.Millisecond)
+	n.disk.Refuse(waltest.Full)
+	client := s.client()
+	require.Equal(t, manager.ReplyAccepted, mustRequest(t, client, manager.Request{Kind: manager.RequestConfigure, Config: testConfig}).Kind)
+	// Five voters tolerate more losses than six of which one is silent.
+	s.waitForVoters(urls...)
+	require.Eventually(t, func() bool {
+		id, err := control.StoredID(control.Config{FS: n.disk})
+		return err == nil && id == 0
+	}, waitTimeout, 10*time.Millisecond)
+	n.disk.Refuse(0)
+	s.waitForVoters(append(urls, url)...)
+	require.Len(t, cells, 1)
+	second := <-cells
+	require.NotEqual(t, first.id, second.id)
+	require.Eventually(t, func() bool { return second.replica.Snapshot().JobConfig != nil }, waitTimeout, time.Millisecond)
+	stop()
+	require.NoError(t, <-ended)
+}
--- a/internal/control/linearizable_test.go
+++ b/internal/control/linearizable_test.go
@@ -16,6 +16,7 @@
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/core/state"
+	"laburnumdock/internal/wal/waltest"
 )
 
 // registerInput is the input of an operation on one key: a read if value is 0,
@@ -174,6 +175,70 @@
 	}
 }
 
+// Guards against acknowledged changes that are lost, stale reads and changes that take
+// effect after an error that excludes it, while the disks of random replicas refuse
+// random operations for a while, also of several at once, and some of these replicas
+// are killed meanwhile.
+func TestLinearizableWithFailingDisks(t *testing.T) {
+	c, disks := newClusterOnFaultyDisks(t, func(cfg *Config) { cfg.SnapshotEntries, cfg.KeepEntries = 50, 10 }, 1, 2, 3)
+	c.leader()
+	var mu sync.Mutex
+	pick := func(rng *rand.Rand) *runningReplica {
+		mu.Lock()
+		defer mu.Unlock()
+		return c.replicas[uint64(rng.IntN(3))+1]
+	}
+	h := &history{errorKinds: map[fault.Kind]int{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	for id := range 5 {
+		clients.Go(func() { h.client(ctx, id+1, rand.New(rand.NewPCG(uint64(id), 7)), pick) })
+	}
+	refusable := []waltest.Op{waltest.Full, waltest.Sync, waltest.Rename, waltest.Remove, waltest.SyncDir, waltest.Create, waltest.Write | waltest.Sync}
+	rng := rand.New(rand.NewPCG(9, 9))
+	refusals := 0
+	for range 12 {
+		victim := uint64(rng.IntN(3)) + 1
+		disks[victim].Refuse(refusable[rng.IntN(len(refusable))])
+		if rng.IntN(4) == 0 {
+			disks[victim%3+1].Refuse(waltest.Full)
+		}
+		time.Sleep(time.Duration(100+rng.IntN(600)) * time.Millisecond)
+		killed := rng.IntN(3) == 0
+		if killed {
+			mu.Lock()
+			run := c.replicas[victim]
+			delete(c.replicas, victim)
+			mu.Unlock()
+			c.endRun(run, ErrAbandon)
+		}
+		for _, disk := range disks {
+			disk.Refuse(0)
+		}
+		if killed {
+			mu.Lock()
+			c.startFS(victim, c.relisten(victim), disks[victim])
+			mu.Unlock()
+		}
+		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	}
+	for _, disk := range disks {
+		refusals += disk.Refusals()
+	}
+	c.awaitRecovery(1)
+	cancel()
+	clients.Wait()
+	t.Logf("%d operations, %d refused file operations, answers by kind %v", len(h.ops), refusals, h.errorKinds)
+	require.Greater(t, len(h.ops), 100)
+	require.Greater(t, refusals, 10)
+	require.Zero(t, h.errorKinds[fault.Invalid])
+	require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(registerModel, h.ops, 0))
+	for id, run := range c.replicas {
+		_, err := run.ReadSnapshot(testContext(t))
+		require.NoError(t, err, "replica %d", id)
+	}
+}
+
 // Guards against a linearizability check that accepts a stale read, or a read of a
 // change that must not have taken effect.
 func TestRegisterModelDetectsViolations(t *testing.T) {
