--- a/internal/cell/removed_test.go
+++ b/internal/cell/removed_test.go
@@ -36,7 +36,7 @@
 	n.handler.set(nil)
 	n.stop = nil
 	require.False(t, s.isMember(old))
-	require.NoError(t, control.ClearDataDir(n.dir))
+	require.NoError(t, control.ClearDataDir(control.Config{Dir: n.dir}))
 	s.start(removed, false)
 	s.waitForVoters(append(urls[:5:5], replacement)...)
 	require.NotEqual(t, old, n.cell.id)
