Stop the job manager before the message of a leadership transfer leaves

A leader that transfers its leadership sent the message to its target before its job manager stopped, up to a tick later on shutdown and longer with a slow sync. The target may lead as soon as it has the message, so orders could leave from both. The manager now stops before the message is sent.

--- a/internal/control/jobmanager_test.go
+++ b/internal/control/jobmanager_test.go
@@ -189,3 +189,30 @@
 	require.Eventually(t, func() bool { return !lead.IsLeader() }, testTimeout, time.Millisecond)
 	require.Len(t, manager.flushes(), flushed)
 }
+
+// sendTransferEvent begins a leadership transfer, sends its message and reports whether
+// the job manager still led after that.
+type sendTransferEvent struct{ led chan bool }
+
+func (e sendTransferEvent) handle(l *loop) {
+	l.node.TransferLeadership(0)
+	l.processReady()
+	e.led <- l.leadership.active
+}
+
+func (e sendTransferEvent) refuse(error) { e.led <- true }
+
+// Guards against orders that leave between the message that ends a leadership and the
+// end of the job manager: the target may lead as soon as it has the message.
+func TestJobManagerStopsBeforeTransferIsSent(t *testing.T) {
+	managers := map[uint64]*fakeJobManager{}
+	c := newClusterWithConfig(t, func(cfg *Config) {
+		managers[cfg.ID] = &fakeJobManager{}
+		cfg.JobManager = managers[cfg.ID]
+	}, 1, 2, 3)
+	lead := c.leader()
+	require.Eventually(t, func() bool { return len(managers[lead.cfg.ID].flushes()) > 0 }, testTimeout, time.Millisecond)
+	led := make(chan bool, 1)
+	lead.events <- sendTransferEvent{led}
+	require.False(t, <-led)
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -357,6 +357,11 @@
 }
 
 func (l *loop) send(messages []raft.Message) {
+	if l.node.IsTransferring() {
+		// The target may lead as soon as it has the message, so the job manager stops
+		// before.
+		l.updateLeadership()
+	}
 	for _, m := range messages {
 		l.peers.send(m)
 	}
