--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -56,9 +56,13 @@
 	peers     *peers
 	// failed is the failure after which the replica takes no part, or nil. outage
 	// describes it.
-	failed   error
-	outage   outage
-	stopping bool
+	failed error
+	outage outage
+	// reopenedAt is when the storage was last reopened, and reopenDelay the time before
+	// the first attempt of the last outage.
+	reopenedAt  time.Time
+	reopenDelay time.Duration
+	stopping    bool
 	// statusDue is set when a tick has passed since the status was published.
 	statusDue bool
 	// ticksSinceLeading is the number of ticks since this replica was last the
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -16,6 +16,25 @@
 // one small file.
 const reopenInterval = 200 * time.Millisecond
 
+const (
+	// maxReopenInterval bounds the time before the first attempt. It is below the time
+	// for which a full disk usually lasts.
+	maxReopenInterval = 3 * time.Second
+	// stableTime is the time after which a reopened storage counts as working.
+	stableTime = 2 * time.Second
+)
+
+// nextReopenDelay returns the time before the first attempt to reopen the storage. It
+// doubles while the storage fails soon after it was reopened: the disk then takes the
+// small file of an attempt, but not the records, and each attempt reads the whole log
+// and may make the leader send a snapshot.
+func nextReopenDelay(previous, sinceReopened time.Duration) time.Duration {
+	if previous == 0 || sinceReopened >= stableTime {
+		return reopenInterval
+	}
+	return min(2*previous, maxReopenInterval)
+}
+
 // outage describes a failure of the storage.
 type outage struct {
 	startedAt time.Time
@@ -35,7 +54,8 @@
 	}
 	now := time.Now()
 	l.failed = err
-	l.outage = outage{startedAt: now, retryAt: now.Add(reopenInterval), term: l.node.Term()}
+	l.reopenDelay = nextReopenDelay(l.reopenDelay, now.Sub(l.reopenedAt))
+	l.outage = outage{startedAt: now, retryAt: now.Add(l.reopenDelay), term: l.node.Term()}
 	l.r.store.Fail(err)
 	l.r.cfg.Log.Err(logevent.StorageFailed, err, nil)
 	l.r.gauges.storageFailures.Inc(1)
@@ -125,7 +145,7 @@
 	l.setEntryAddresses(s.entries)
 	l.node, l.hardState, l.snapshotIndex = node, s.hardState, s.snapshot.Index
 	fields := logevent.Fields{"age_ms": time.Since(l.outage.startedAt).Milliseconds(), "entries": len(s.entries), "term": s.hardState.Term}
-	l.failed, l.outage, l.statusDue = nil, outage{}, true
+	l.failed, l.outage, l.statusDue, l.reopenedAt = nil, outage{}, true, time.Now()
 	l.r.cfg.Log.Log(logevent.StorageRecovered, fields)
 	logTornRecord(l.r.cfg, rec)
 	return nil
