Take an earlier start time of an executor for a restart

An executor that restarts under its ID while the clock of its host is set back has an earlier start time. Any other start time in an answer is now a restart.

--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -379,7 +379,8 @@
 		return false
 	default:
 	}
-	if o.StartedAt > s.rec.StartedAt && s.rec.StartedAt > 0 {
+	if o.StartedAt != s.rec.StartedAt && o.StartedAt > 0 && s.rec.StartedAt > 0 {
+		// The start may be earlier if the host's clock was set back.
 		m.endSession(s, reasonRestarted, now)
 		return false
 	}
