Take losses back when a silent executor answers again

The loss is now taken back when the executor answers again, and confirmed when another one answers in its place. With five losses of which fewer than two are certain crashes the task waits for that instead of failing its job. An executor that a task may have crashed is kept for 20 s, so that its return is noticed.

Also found: a crash of an idle executor was held against a task that had lapsed there before; an order for a host that was refused made later crashes look planned, and so did draining; an order whose permission had ended counted as silence of the executor (verdict not_permitted).

--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -13,7 +13,7 @@
 	RecordUpkeep     *RecordUpkeep     `cbor:"9,keyasint,omitempty"`
 	DeleteJob        *DeleteJob        `cbor:"10,keyasint,omitempty"`
 	RecordHostOrders *RecordHostOrders `cbor:"11,keyasint,omitempty"`
-	ConfirmCrash     *ConfirmCrash     `cbor:"12,keyasint,omitempty"`
+	SettleSilence    *SettleSilence    `cbor:"12,keyasint,omitempty"`
 }
 
 // AcceptJob stores a submitted job. Repeating it for the same ID has no effect.
@@ -88,10 +88,13 @@
 	Crashed  bool          `cbor:"8,keyasint,omitempty"`
 }
 
-// ConfirmCrash records that an executor has crashed, whose silence was recorded as a
-// loss under the task.
-type ConfirmCrash struct {
-	Task TaskRef `cbor:"1,keyasint"`
+// SettleSilence records what became of an executor whose silence was recorded as a
+// loss under the task, with the given evidence.
+type SettleSilence struct {
+	Task     TaskRef       `cbor:"1,keyasint"`
+	Evidence CrashEvidence `cbor:"2,keyasint"`
+	// Crashed is set if the executor has crashed, and not if it answers again.
+	Crashed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RegisterExecutor records a new executor incarnation if its number is 0, and a
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -260,8 +260,8 @@
 		return s.deleteJob(c.DeleteJob.ID)
 	case c.RecordHostOrders != nil:
 		return s.recordHostOrders(c.RecordHostOrders)
-	case c.ConfirmCrash != nil:
-		return s.confirmCrash(c.ConfirmCrash.Task)
+	case c.SettleSilence != nil:
+		return s.settleSilence(c.SettleSilence)
 	}
 	return fault.New(fault.Internal, "command is empty or of an unknown kind")
 }
--- a/internal/core/manager/call.go
+++ b/internal/core/manager/call.go
@@ -94,11 +94,14 @@
 	NoAnswer
 	// NotSent means that the order was not carried out and will not be.
 	NotSent
+	// NotPermitted means the same because the leader's permission to send it ended
+	// before it was sent.
+	NotPermitted
 )
 
 // String returns the name used in logs.
 func (v Verdict) String() string {
-	names := [...]string{"unknown", "ok", "refused", "wrong_instance", "unhealthy", "no_answer", "not_sent"}
+	names := [...]string{"unknown", "ok", "refused", "wrong_instance", "unhealthy", "no_answer", "not_sent", "not_permitted"}
 	if int(v) < len(names) {
 		return names[v]
 	}
--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -92,9 +92,11 @@
 type endCause uint8
 
 const (
-	// endPlanned means that the end was announced or ordered by this leader.
+	// endPlanned means that this leader ordered the end, or the executor announced it
+	// itself.
 	endPlanned endCause = iota
-	// endUncertain means that an order of an earlier leader may have caused it.
+	// endUncertain means that it may have been a shutdown that was announced, or an
+	// order of an earlier leader may have caused it.
 	endUncertain
 	// endCrashed means that the executor has crashed.
 	endCrashed
@@ -110,6 +112,9 @@
 		return 0
 	case result != jobs.ResultLapsed && (result != jobs.ResultGone || r.session.cause == endPlanned):
 		return 0
+	case r.proven && r.session.draining:
+		// The executor may have left in time after its announcement.
+		return 0
 	case r.proven && r.session.unproven > 0:
 		return jobs.LostBeside
 	case r.proven:
@@ -156,8 +161,10 @@
 func (m *Manager) causeOfEnd(s *session, now time.Time) endCause {
 	h := m.hosts.byName[s.rec.Host]
 	switch {
-	case s.draining || h != nil && h.orderedAt.After(s.knownSince):
+	case h != nil && h.evictedAt.After(s.knownSince):
 		return endPlanned
+	case s.draining:
+		return endUncertain
 	case h != nil && h.inherited != nil && !s.knownSince.After(m.startedAt) && now.Sub(m.startedAt) < m.cfg.HostLease+max(m.cfg.MoveTime, m.cfg.UpkeepTime):
 		return endUncertain
 	default:
@@ -165,15 +172,19 @@
 	}
 }
 
-// confirmCrashes proposes to record that the executor has crashed under the tasks
-// whose runs had lapsed before.
-func (m *Manager) confirmCrashes(s *session) {
-	if s.cause == endCrashed {
-		for _, ref := range s.silentTasks {
-			m.propose(jobs.Command{ConfirmCrash: &jobs.ConfirmCrash{Task: ref}})
-		}
+// lapsedRun is a run that has lapsed with the evidence that was recorded for its task.
+type lapsedRun struct {
+	task     jobs.TaskRef
+	evidence jobs.CrashEvidence
+}
+
+// settleSilence proposes to record what became of an executor that had fallen silent
+// under some tasks.
+func (m *Manager) settleSilence(s *session, crashed bool) {
+	for _, l := range s.lapsed {
+		m.propose(jobs.Command{SettleSilence: &jobs.SettleSilence{Task: l.task, Evidence: l.evidence, Crashed: crashed}})
 	}
-	s.silentTasks = nil
+	s.lapsed = nil
 }
 
 // endPredecessors concludes that the other executors on the host have ended, since
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -146,7 +146,9 @@
 	if isReplaced(reason) {
 		s.cause = m.causeOfEnd(s, now)
 	}
-	m.confirmCrashes(s)
+	if s.cause == endCrashed {
+		m.settleSilence(s, true)
+	}
 	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
 	m.pool(s.rec.Pool).removeSession(s)
 	for _, r := range s.sortedRuns(nil) {
@@ -266,10 +268,18 @@
 // long that it need not be called any more. It is registered again if it
 // reports again.
 func (m *Manager) isLost(s *session, now time.Time) bool {
-	silenceLimit := time.Duration(lostAfterReports * float64(m.cfg.ReportInterval))
-	return len(s.runs) == 0 && s.failures > 0 && now.Sub(s.lastHeardAt) > max(silenceLimit, m.cfg.MaxLease)
+	silenceLimit := max(lostAfterReports*m.cfg.ReportInterval, m.cfg.MaxLease)
+	if len(s.lapsed) > 0 {
+		silenceLimit = max(silenceLimit, maxCrashTime)
+	}
+	return len(s.runs) == 0 && s.failures > 0 && now.Sub(s.lastHeardAt) > silenceLimit
 }
 
+// maxCrashTime is the time for which a silent executor is kept if a task may have
+// crashed it, so that its return shows whether it has. A crashed one is back after
+// some seconds.
+const maxCrashTime = 20 * time.Second
+
 // lostAfterReports is the number of report intervals after which a silent
 // executor without runs is dropped.
 const lostAfterReports = 6
@@ -365,6 +375,9 @@
 		return false
 	}
 	switch o.Verdict {
+	case NotPermitted:
+		// This says nothing about the executor.
+		return false
 	case NoAnswer, NotSent:
 		if s.failures == 0 && !m.hosts.get(s.rec.Host).away {
 			m.logEvent(Event{Kind: EventExecutorSilent, Executor: s.rec.ID, Pool: s.rec.Pool, Reason: o.Verdict.String(), Age: now.Sub(s.lastHeardAt)})
@@ -386,6 +399,7 @@
 	}
 	s.readClock(o.Clock, o.AnsweredAt)
 	s.lastHeardAt, s.lastAnswerAt = now, now
+	m.settleSilence(s, false)
 	if s.failures > 0 {
 		s.failures, s.rackLost = 0, false
 		m.logEvent(Event{Kind: EventExecutorAnswers, Executor: s.rec.ID, Pool: s.rec.Pool})
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -23,8 +23,10 @@
 	away bool
 	// changedAt is when away was last set, confirmed or cleared.
 	changedAt time.Time
-	// orderedAt is when the newest order that takes the host away was sent.
+	// orderedAt is when the newest order that takes the host away was sent, and
+	// evictedAt the same unless it certainly had no effect.
 	orderedAt time.Time
+	evictedAt time.Time
 	// orderPending is set while an order has no outcome. nextOrder is the
 	// earliest time for the next one.
 	orderPending bool
@@ -188,7 +190,7 @@
 			continue
 		}
 		order := *h.queued
-		h.queued, h.changedAt, h.orderedAt = nil, now, now
+		h.queued, h.changedAt, h.orderedAt, h.evictedAt = nil, now, now, now
 		m.call(order.call, order.pending, now)
 	}
 }
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -312,8 +312,8 @@
 		m.upkeepRecorded(c.RecordUpkeep, now)
 	case c.RecordHostOrders != nil:
 		m.hostOrdersRecorded(c.RecordHostOrders, now)
-	case c.ConfirmCrash != nil:
-		m.updateJob(c.ConfirmCrash.Task.Job, now)
+	case c.SettleSilence != nil:
+		m.updateJob(c.SettleSilence.Task.Job, now)
 	}
 }
 
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -203,8 +203,8 @@
 				h.away, h.target, h.nextOrder = false, "", now.Add(m.cfg.MoveTime+hostOrderInterval)
 			}
 		}
-	case Refused, NotSent:
-		h.away, h.target = false, ""
+	case Refused, NotSent, NotPermitted:
+		h.away, h.target, h.evictedAt = false, "", time.Time{}
 		h.nextOrder = now.Add(m.cfg.MoveTime)
 		if s != nil && s.reservedFor == actionMove {
 			m.releaseReservation(s)
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -69,7 +69,7 @@
 	if end.Evidence != 0 && end.Evidence != jobs.Survived {
 		end.Crashed = r.session.cause == endCrashed
 		if result == jobs.ResultLapsed {
-			r.session.silentTasks = append(r.session.silentTasks, r.key.task)
+			r.session.lapsed = append(r.session.lapsed, lapsedRun{task: r.key.task, evidence: end.Evidence})
 		}
 		m.logEvent(Event{Kind: EventTaskSuspected, Job: r.key.task.Job, Task: r.key.task, Run: r.key.run, Executor: r.session.rec.ID, Pool: r.session.rec.Pool, Reason: end.Evidence.String()})
 	}
@@ -133,7 +133,7 @@
 		if r.suspect {
 			m.holdFor(s, suspectProvingTime, now)
 		}
-	case NotSent, WrongInstance:
+	case NotSent, NotPermitted, WrongInstance:
 		m.concludeRun(r, jobs.ResultNotStarted, now)
 	case Unhealthy:
 		m.distrust(s, "executor reports itself unhealthy", now)
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -253,7 +253,7 @@
 	for i := range j.tasks[occurrence][stepIndex] {
 		record := &j.rec.Steps[occurrence][stepIndex].Tasks[i]
 		task := &j.tasks[occurrence][stepIndex][i]
-		if record.Done || task.liveRuns > 0 || record.IsGivenUp(step) || noCapacity && len(task.avoided) == 0 {
+		if record.Done || task.liveRuns > 0 || !record.MayStart(step) || noCapacity && len(task.avoided) == 0 {
 			continue
 		}
 		ref := jobs.TaskRef{Job: j.rec.ID, Occurrence: occurrence, Step: stepIndex, Index: i}
@@ -288,7 +288,7 @@
 	step := &j.rec.Spec.Steps[stepIndex]
 	number := 0
 	for i := range j.tasks[occurrence][stepIndex] {
-		if j.tasks[occurrence][stepIndex][i].liveRuns > 0 || j.rec.Steps[occurrence][stepIndex].Tasks[i].IsGivenUp(step) {
+		if j.tasks[occurrence][stepIndex][i].liveRuns > 0 || !j.rec.Steps[occurrence][stepIndex].Tasks[i].MayStart(step) {
 			return
 		}
 		number = max(number, j.rec.Steps[occurrence][stepIndex].Tasks[i].LastRun)
--- a/internal/core/manager/session.go
+++ b/internal/core/manager/session.go
@@ -107,9 +107,9 @@
 	// ended is set when the incarnation has certainly ended; cause says how.
 	ended bool
 	cause endCause
-	// silentTasks are the tasks whose runs have lapsed because the executor had fallen
-	// silent.
-	silentTasks []jobs.TaskRef
+	// lapsed are the runs that have lapsed because the executor fell silent, as far as
+	// their tasks may have crashed it.
+	lapsed []lapsedRun
 	// clock is the executor's clock in milliseconds. It was read at clockReadAt
 	// or before.
 	clock       int64
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -291,8 +291,8 @@
 	case o.Verdict == Refused && o.Refusal == RefusedUnknownHost:
 		h.away, h.wave = false, 0
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host, Removed: true}})
-	case o.Verdict == Refused || o.Verdict == NotSent:
-		h.away, h.wave = false, 0
+	case o.Verdict == Refused || o.Verdict == NotSent || o.Verdict == NotPermitted:
+		h.away, h.wave, h.evictedAt = false, 0, time.Time{}
 		delete(w.ordered, pending.host)
 	default:
 		// The order may have been carried out. The host counts as away until an
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -45,7 +45,7 @@
 // process may have been suspended, or this goroutine delayed, since it was given.
 func do(ctx context.Context, client PlatformClient, c manager.Call) manager.Outcome {
 	if !permit.IsValid(c.SendUntil, boottime.Now()) {
-		return newOutcome(&c, manager.NotSent)
+		return newOutcome(&c, manager.NotPermitted)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
