Begin the transfer of a test only when a target is reachable

TestJobManagerStopsBeforeTransferIsSent took a transfer that could not begin, because no other replica had responded lately, for one that began.

--- a/internal/control/jobmanager_test.go
+++ b/internal/control/jobmanager_test.go
@@ -190,17 +190,19 @@
 	require.Len(t, manager.flushes(), flushed)
 }
 
-// sendTransferEvent begins a leadership transfer, sends its message and reports whether
-// the job manager still led after that.
-type sendTransferEvent struct{ led chan bool }
+// sendTransferEvent begins a leadership transfer and sends its message. It reports
+// whether the transfer began, and whether the job manager still led after that.
+type sendTransferEvent struct{ result chan transferResult }
+
+type transferResult struct{ began, led bool }
 
 func (e sendTransferEvent) handle(l *loop) {
-	l.node.TransferLeadership(0)
+	began := l.node.TransferLeadership(0)
 	l.processReady()
-	e.led <- l.leadership.active
+	e.result <- transferResult{began: began, led: l.leadership.active}
 }
 
-func (e sendTransferEvent) refuse(error) { e.led <- true }
+func (e sendTransferEvent) refuse(error) { e.result <- transferResult{} }
 
 // Guards against orders that leave between the message that ends a leadership and the
 // end of the job manager: the target may lead as soon as it has the message.
@@ -210,9 +212,17 @@
 		managers[cfg.ID] = &fakeJobManager{}
 		cfg.JobManager = managers[cfg.ID]
 	}, 1, 2, 3)
-	lead := c.leader()
-	require.Eventually(t, func() bool { return len(managers[lead.cfg.ID].flushes()) > 0 }, testTimeout, time.Millisecond)
-	led := make(chan bool, 1)
-	lead.events <- sendTransferEvent{led}
-	require.False(t, <-led)
+	var result transferResult
+	// No transfer begins while no other replica has responded lately.
+	require.Eventually(t, func() bool {
+		lead := c.leader()
+		if len(managers[lead.cfg.ID].flushes()) == 0 {
+			return false
+		}
+		event := sendTransferEvent{make(chan transferResult, 1)}
+		lead.events <- event
+		result = <-event.result
+		return result.began
+	}, testTimeout, time.Millisecond)
+	require.False(t, result.led)
 }
