--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -54,7 +54,7 @@
 	images    map[*raft.Snapshot]*image
 	addresses map[uint64]string
 	peers     *peers
-	// failed is the failure after which the replica takes no part, or nil. outage
+	// failed is the failure that halted the replica, or nil. outage
 	// describes it.
 	failed error
 	outage outage
--- a/internal/control/reopen.go
+++ b/internal/control/reopen.go
@@ -11,7 +11,7 @@
 )
 
 // reopenInterval is the time between two attempts to reopen the storage. It is short
-// against an election timeout, so that a replica takes part again before the next
+// against an election timeout, so that a replica resumes before the next
 // host can be expected to fail, and an attempt on a full disk costs only the write of
 // one small file.
 const reopenInterval = 200 * time.Millisecond
@@ -47,7 +47,7 @@
 
 // fail halts the replica after a failure and fails everything that is pending.
 // Appended entries may or may not survive. After a failure of the storage the replica
-// takes part again once the storage has been reopened.
+// resumes once the storage has been reopened.
 func (l *loop) fail(err error) {
 	if l.failed != nil {
 		return
@@ -67,13 +67,13 @@
 	}
 }
 
-// refusal returns the error with which a replica that takes no part refuses requests:
+// refusal returns the error with which a halted replica refuses requests:
 // a refused request had no effect.
 func (l *loop) refusal() error {
 	if fault.KindOf(l.failed) == fault.Stopping {
 		return l.failed
 	}
-	return fault.New(fault.Unavailable, "replica %d takes no part: %v", l.r.cfg.ID, l.failed)
+	return fault.New(fault.Unavailable, "replica %d is halted: %v", l.r.cfg.ID, l.failed)
 }
 
 // observeLeader learns the leader during an outage from the messages that are refused.
--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -16,7 +16,8 @@
 	// LostLater means that the executor crashed or fell silent soon after the run had
 	// proved itself, with no other run on it that had not.
 	LostLater
-	// LostBeside means the same with such a run, which is the likelier cause.
+	// LostBeside means that the executor crashed or fell silent soon after the run had
+	// proved itself, beside a run that had not, which is the likelier cause.
 	LostBeside
 	// Survived means that the run was active for so long that earlier crashes had
 	// other causes.
--- a/internal/core/permit/permit.go
+++ b/internal/core/permit/permit.go
@@ -23,9 +23,9 @@
 	ReceivedAt time.Duration
 }
 
-// EndAtRemote returns a time on the other host's clock that the clock shows no later
-// than this host's clock shows end. At ReceivedAt the other clock had reached Remote
-// or more, however long the reading was on its way. It returns 0 if s is zero.
+// EndAtRemote converts end to the other host's clock. The result is never late: at
+// ReceivedAt the other clock had reached Remote or more, however long the reading was
+// on its way, and it may run faster. It returns 0 if s is zero.
 func (s ClockSample) EndAtRemote(end time.Duration) time.Duration {
 	if s == (ClockSample{}) {
 		return 0
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -20,8 +20,8 @@
 	// that writes 20 MB/s is delayed by at most 0.2 s.
 	DefaultSegmentBytes = 4 << 20
 	// probeFile and probeBytes are the name and the size of the file that shows
-	// whether the disk takes writes again. Two blocks of the usual size do not fit
-	// into the rest of the block of another file.
+	// whether the disk takes writes again. 8 KiB needs newly allocated blocks, so the
+	// write does not succeed within a block that is allocated already.
 	probeFile  = segmentPrefix + "probe" + tempSuffix
 	probeBytes = 8 << 10
 )
