Extend the stand-ins of the review

Executors can lose power and start again under their ID, gangs work together, and answers to orders no longer carry the start of the executor, which the pages put on reports and lists only. The platform's interface for machines always runs.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -35,6 +35,8 @@
 // Bed is a small deployment: the programs of the deploy file and the stand-ins.
 type Bed struct {
 	Rec *Record
+	// Cloud is the platform's interface for machines once it is started.
+	Cloud *Cloud
 	// Trouble reports whether the disruption is to be made.
 	Trouble bool
 
@@ -185,8 +187,14 @@
 	return fmt.Sprintf("%s%d:%d", b.net, coreCount+1+i%frontCount, b.frontPort)
 }
 
-// Start starts all processes and waits until the entry hosts are ready.
+// Start starts all processes and the platform's interface for machines, and waits until
+// the entry hosts are ready.
 func (b *Bed) Start() error {
+	if b.Cloud == nil {
+		if _, err := b.StartCloud(); err != nil {
+			return err
+		}
+	}
 	for i := range coreCount {
 		p, err := b.newProc("cell", fmt.Sprintf("core-%d", i+1), "core", fmt.Sprintf("%s%d", b.net, i+1))
 		if err != nil {
@@ -370,10 +378,11 @@
 func (b *Bed) Configure(version int, services []map[string]any, routes ...Route) error {
 	var list []map[string]any
 	for _, r := range routes {
-		list = append(list, map[string]any{
+		route := map[string]any{
 			"Name": r.Name, "Host": Host, "PathPrefix": r.Prefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "TargetDurationMs": 600,
 			"Priority": 0, "Service": r.Service, "MaxAttempts": r.MaxAttempts, "SlackFactor": 1.6,
-		})
+		}
+		list = append(list, route)
 	}
 	body, err := json.Marshal(map[string]any{
 		"Version": version, "Routes": list, "Services": services,
@@ -405,6 +414,7 @@
 	Requirements string `json:"Requirements,omitempty"`
 	AntiAffinity int    `json:"AntiAffinity,omitempty"`
 	Gang         bool   `json:"Gang,omitempty"`
+	RackLocal    bool   `json:"RackLocal,omitempty"`
 }
 
 // Job is a job of a client, with what its tasks do on an executor.
@@ -424,7 +434,12 @@
 
 // SubmitTimes does the same with a number of attempts.
 func (b *Bed) SubmitTimes(prefix string, step Step, duration time.Duration, attempts int) (*Job, error) {
-	j := &Job{ID: fmt.Sprintf("%016x", rand.Uint64()), Prefix: prefix, Step: step, Duration: duration}
+	return b.submit(&Job{Prefix: prefix, Step: step, Duration: duration}, attempts)
+}
+
+func (b *Bed) submit(j *Job, attempts int) (*Job, error) {
+	j.ID = fmt.Sprintf("%016x", rand.Uint64())
+	prefix, step := j.Prefix, j.Step
 	b.mu.Lock()
 	b.jobs[j.ID] = j
 	b.mu.Unlock()
--- a/review/bed/cloud.go
+++ b/review/bed/cloud.go
@@ -41,6 +41,7 @@
 	b.mu.Lock()
 	b.cleanups = append(b.cleanups, func() { _ = server.Close() })
 	b.mu.Unlock()
+	b.Cloud = c
 	return c, nil
 }
 
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,7 @@
 	MachineUp   bool
 	id          string
 	server      *http.Server
+	listener    net.Listener
 	startedAt   time.Time
 	sequence    int64
 	fence       uint64
@@ -67,6 +69,10 @@
 	// lives counts the incarnations; older goroutines end when it changes.
 	lives         int
 	reportAddress string
+	// dark are the lives that ended with a loss of power, and heldSince is when the call
+	// for the lists arrived that waits for an end.
+	dark      []int
+	heldSince time.Time
 }
 
 // NewExecutor starts an executor on a machine of its own.
@@ -88,8 +94,14 @@
 // given time. The caller holds Bed.mu.
 func (e *Executor) upLocked(firstReport time.Duration) {
 	e.b.nextLife++
+	e.id = fmt.Sprintf("i-%04d", e.b.nextLife)
+	e.bootLocked(firstReport)
+}
+
+// bootLocked does the same under the ID that the executor has. The caller holds Bed.mu.
+func (e *Executor) bootLocked(firstReport time.Duration) {
 	e.lives++
-	e.id, e.MachineUp = fmt.Sprintf("i-%04d", e.b.nextLife), true
+	e.MachineUp = true
 	e.startedAt, e.sequence, e.fence, e.leaseUntil, e.lapsedAt, e.lastEnd = time.Now(), 0, 0, time.Time{}, time.Time{}, 0
 	e.active, e.highest, e.ended, e.endListed = map[string]*activeRun{}, map[string]int{}, nil, make(chan struct{})
 	l, err := net.Listen("tcp", e.Address)
@@ -97,8 +109,9 @@
 		e.b.Rec.Log("executor %s can't listen: %v", e.id, err)
 		return
 	}
-	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
-	e.server = server
+	lives := e.lives
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, lives) })}
+	e.server, e.listener = server, l
 	go func() { _ = server.Serve(l) }()
 	e.b.Rec.Log("executor %s of %s is up on %s", e.id, e.Service, e.Machine)
 	go e.report(e.lives, firstReport)
@@ -146,6 +159,45 @@
 	})
 }
 
+// Reboot lets the machine of the executor lose power. After the given time it is up
+// again, under the ID that it had, and knows nothing of before. Connections to it go
+// silent. The first report of the new life leaves after another time.
+func (e *Executor) Reboot(down, firstReport time.Duration) {
+	e.b.mu.Lock()
+	defer e.b.mu.Unlock()
+	e.dark = append(e.dark, e.lives)
+	for _, r := range e.active {
+		r.timer.Stop()
+		e.endTrace(r, "lost")
+	}
+	e.active = map[string]*activeRun{}
+	_ = e.listener.Close()
+	server := e.server
+	e.b.cleanups = append(e.b.cleanups, func() { _ = server.Close() })
+	e.server, e.MachineUp = nil, false
+	e.lives++
+	lives := e.lives
+	e.b.Rec.Log("executor %s on %s loses power", e.id, e.Machine)
+	time.AfterFunc(down, func() {
+		e.b.mu.Lock()
+		defer e.b.mu.Unlock()
+		if e.lives == lives {
+			e.bootLocked(firstReport)
+		}
+	})
+}
+
+// isDark reports whether a life has ended with a loss of power.
+func (e *Executor) isDark(lives int) bool { return slices.Contains(e.dark, lives) }
+
+// HeldSince returns when the executor last received a call for its lists, if it has not
+// answered it yet.
+func (e *Executor) HeldSince() time.Time {
+	e.b.mu.Lock()
+	defer e.b.mu.Unlock()
+	return e.heldSince
+}
+
 // SetUnhealthy lets the executor consider itself unhealthy: it refuses every start with
 // 503 and does nothing.
 func (e *Executor) SetUnhealthy(on bool) {
@@ -215,7 +267,8 @@
 	WaitMs       int64
 }
 
-func (e *Executor) serve(w http.ResponseWriter, r *http.Request) {
+// serve answers a call on a connection to one life of the executor.
+func (e *Executor) serve(w http.ResponseWriter, r *http.Request, lives int) {
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -223,9 +276,9 @@
 	}
 	e.b.mu.Lock()
 	defer e.b.mu.Unlock()
-	lives := e.lives
 	switch {
-	case e.server == nil:
+	case e.lives != lives:
+		// A machine that is up again resets connections that it doesn't know.
 		panic(http.ErrAbortHandler)
 	case r.Header.Get("Expect-Instance") != e.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -258,7 +311,8 @@
 func (e *Executor) answer(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	body := map[string]any{"ClockMs": e.clock(), "born": e.startedAt.UnixMilli()}
+	// Only what an executor says of itself and its lists of runs carry its start.
+	body := map[string]any{"ClockMs": e.clock()}
 	if reason != "" {
 		body["Reason"] = reason
 	}
@@ -326,17 +380,61 @@
 	r := &activeRun{task: o.Task, job: j, trace: &runTrace{executor: e.Machine, life: e.id, run: o.Run, start: time.Now()}}
 	e.b.runs[o.Task] = append(e.b.runs[o.Task], r.trace)
 	e.active[o.Task] = r
+	if j.Step.Gang {
+		e.joinGang(r)
+	} else {
+		e.work(r, j.Duration, "done")
+	}
+	return http.StatusOK, ""
+}
+
+// work lets a run end by itself after a time.
+func (e *Executor) work(r *activeRun, length time.Duration, how string) {
 	lives := e.lives
-	r.timer = time.AfterFunc(j.Duration, func() {
+	r.timer = time.AfterFunc(length, func() {
 		e.b.mu.Lock()
 		defer e.b.mu.Unlock()
-		if e.lives == lives && e.active[o.Task] == r && !r.stopped {
-			e.finish(r, "done")
+		if e.lives == lives && e.active[r.task] == r && !r.stopped {
+			e.finish(r, how)
 		}
 	})
-	return http.StatusOK, ""
 }
 
+// gangTimeout is GangTimeoutMs.
+const gangTimeout = 3 * time.Second
+
+// joinGang lets the members of a gang work from the moment when all of one run are
+// present. A member that waits for too long ends alone.
+func (e *Executor) joinGang(r *activeRun) {
+	e.work(r, gangTimeout, "alone")
+	present := map[*activeRun]*Executor{}
+	for _, o := range e.b.executors {
+		for _, a := range o.active {
+			if a.job == r.job && a.trace.run == r.trace.run && !a.stopped {
+				present[a] = o
+			}
+		}
+	}
+	if len(present) < r.job.Step.Count {
+		return
+	}
+	racks := map[string]bool{}
+	for _, o := range present {
+		racks[o.Labels[1]] = true
+	}
+	length := r.job.Duration
+	if r.job.Step.RackLocal && len(racks) > 1 {
+		length *= remoteFactor
+	}
+	for a, o := range present {
+		a.timer.Stop()
+		o.work(a, length, "done")
+	}
+}
+
+// remoteFactor is RemoteFactor.
+const remoteFactor = 2
+
 // stopTime is how long a stop takes, below StopTimeoutMs.
 const stopTime = 100 * time.Millisecond
 
@@ -388,6 +486,7 @@
 	e.ended = kept
 	if len(e.ended) == 0 && o.WaitMs > 0 {
 		listed := e.endListed
+		e.heldSince = time.Now()
 		e.b.mu.Unlock()
 		select {
 		case <-listed:
@@ -395,8 +494,15 @@
 		case <-time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond):
 		}
 		e.b.mu.Lock()
+		e.heldSince = time.Time{}
 	}
 	if e.lives != lives {
+		if e.isDark(lives) {
+			// Nobody answers on a connection to a machine that lost power.
+			e.b.mu.Unlock()
+			<-r.Context().Done()
+			e.b.mu.Lock()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	running, ended := [][]any{}, [][]any{}
