--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -42,7 +42,7 @@
 
 	root, dir, net                              string
 	controlPort, frontPort, readyPort, peerPort int
-	cloudAddress                                string
+	cloudAddress, advisorAddress                string
 	roles                                       map[string]role
 	cores, fronts                               []*Proc
 	client                                      *http.Client
@@ -154,6 +154,7 @@
 		b.controlPort, b.frontPort, b.readyPort, b.peerPort = base, base+1, base+2, base+3
 		if b.arePortsFree() {
 			b.cloudAddress = fmt.Sprintf("%s99:%d", b.net, base+4)
+			b.advisorAddress = fmt.Sprintf("%s99:%d", b.net, base+6)
 			return nil
 		}
 	}
@@ -369,6 +370,8 @@
 type Route struct {
 	Name, Prefix, Service string
 	MaxAttempts           int
+	// Advised is set if the advisor decides on the executors.
+	Advised bool
 }
 
 // Host is the host of all routes.
@@ -382,6 +385,9 @@
 			"Name": r.Name, "Host": Host, "PathPrefix": r.Prefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "TargetDurationMs": 600,
 			"Priority": 0, "Service": r.Service, "MaxAttempts": r.MaxAttempts, "SlackFactor": 1.6,
 		}
+		if r.Advised {
+			route["PlacementAdvisor"] = map[string]int{"DecisionMs": decisionMs, "PeriodMs": periodMs, "ValidityMs": validityMs}
+		}
 		list = append(list, route)
 	}
 	body, err := json.Marshal(map[string]any{
@@ -423,6 +429,8 @@
 	Step       Step
 	// Duration is how long a task works.
 	Duration time.Duration
+	// Advised is set if the job's queue has an advisor.
+	Advised bool
 	// Accepted is when the job was accepted.
 	Accepted time.Time
 }
@@ -432,6 +440,11 @@
 	return b.SubmitTimes(prefix, step, duration, 5)
 }
 
+// SubmitAdvised does the same for a queue with an advisor.
+func (b *Bed) SubmitAdvised(prefix string, step Step, duration time.Duration) (*Job, error) {
+	return b.submit(&Job{Prefix: prefix, Step: step, Duration: duration, Advised: true}, 5)
+}
+
 // SubmitTimes does the same with a number of attempts.
 func (b *Bed) SubmitTimes(prefix string, step Step, duration time.Duration, attempts int) (*Job, error) {
 	return b.submit(&Job{Prefix: prefix, Step: step, Duration: duration}, attempts)
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -263,6 +263,7 @@
 	Run          int
 	DeadlineMs   int64
 	FencingToken uint64
+	Ticket       string
 	LastSeen     int64
 	WaitMs       int64
 }
@@ -368,6 +369,9 @@
 		e.b.breakLocked("UNASKED: executor %s was told to start %s, which no client sent", e.id, o.Task)
 		return http.StatusBadRequest, ""
 	}
+	if step := o.Task[:strings.LastIndex(o.Task, ".")]; j.Advised && o.Ticket != ticketFor(step, e) {
+		return http.StatusConflict, "ticket"
+	}
 	cpu, mem := demand(j)
 	for _, r := range e.active {
 		c, m := demand(r.job)
--- a/review/bed/settings.go
+++ b/review/bed/settings.go
@@ -82,7 +82,7 @@
 		"ListenAddrs.ControlPlane": fmt.Sprintf("%s:%d", ip, b.controlPort), "ListenAddrs.FrontendAddr": fmt.Sprintf("%s:%d", ip, b.frontPort),
 		"ListenAddrs.Ready": fmt.Sprintf("%s:%d", ip, b.readyPort), "InternalPortRange.0": fmt.Sprint(b.peerPort),
 		"SeedNodes": strings.Join(b.ControlAddresses()[:3], ","), "Bootstrap": "true", "FaultTolerance.Machines": "2",
-		"Limits.MemoryMb": "284", "DataDir": dataDir, "CloudApi.Address": b.cloudAddress, "PlacementAdvisor": "",
+		"Limits.MemoryMb": "284", "DataDir": dataDir, "CloudApi.Address": b.cloudAddress, "PlacementAdvisor": b.advisorAddress,
 		"HeartbeatMs": fmt.Sprint(HeartbeatMs), "Bounds.HoldMaxMs": fmt.Sprint(HoldMaxMs), "Bounds.LeaseMs": fmt.Sprint(LeaseMs),
 		"Bounds.MigrationS": "1.5", "Bounds.MaintenanceS": "2", "Bounds.status_s": "120", "Bounds.GracePeriodS": "6",
 	}
