--- a/review/5/main.go
+++ b/review/5/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"sync"
 	"time"
 
 	"laburnumdock/review/bed"
@@ -31,8 +32,15 @@
 	}
 	time.Sleep(2 * time.Second)
 	if b.Trouble {
-		cloud.Upkeep = func(_ string, order int) (time.Duration, bool) {
-			if order == 1 {
+		// The trouble lasts for the orders for one machine, less than 5 s.
+		var once sync.Once
+		troubled := ""
+		cloud.Upkeep = func(machine string, order int) (time.Duration, bool) {
+			once.Do(func() { troubled = machine })
+			switch {
+			case machine != troubled:
+				return 0, true
+			case order == 1:
 				return 0, false
 			}
 			return 700 * time.Millisecond, true
@@ -42,7 +50,7 @@
 		return err
 	}
 	// Work arrives all the time, some more than the executors hold.
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
 		if _, err := b.Submit("/q/", bed.Step{Count: 12, CPU: 4000, MemMb: 1024, EstimatedMs: 1500}, 1500*time.Millisecond); err != nil {
 			return err
 		}
