--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -68,23 +68,24 @@
 	log     *os.File
 }
 
-// Main runs a case and exits. It ends all processes that the case started.
+// Main runs a case and exits. It ends all processes that the case started. The arguments
+// are the folder for the record, and "with" or "without" the disruption.
 func Main(limit time.Duration, play func(b *Bed) error) {
-	folder := "."
-	if len(os.Args) > 1 {
-		folder = os.Args[1]
+	if len(os.Args) != 3 || os.Args[2] != "with" && os.Args[2] != "without" {
+		fmt.Fprintln(os.Stderr, "usage: case FOLDER with|without")
+		os.Exit(CantRun)
 	}
-	os.Exit(run(folder, limit, play))
+	os.Exit(run(os.Args[1], os.Args[2] == "with", limit, play))
 }
 
-func run(folder string, limit time.Duration, play func(b *Bed) error) int {
+func run(folder string, trouble bool, limit time.Duration, play func(b *Bed) error) int {
 	rec, err := NewRecord(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return CantRun
 	}
 	defer rec.Close()
-	b, err := newBed(rec)
+	b, err := newBed(rec, trouble)
 	if err != nil {
 		rec.Log("the case can't run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
@@ -122,7 +123,7 @@
 	return Held
 }
 
-func newBed(rec *Record) (*Bed, error) {
+func newBed(rec *Record, trouble bool) (*Bed, error) {
 	root, err := os.Getwd()
 	if err != nil {
 		return nil, err
@@ -136,7 +137,7 @@
 		return nil, err
 	}
 	b := &Bed{
-		Rec: rec, Trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, roles: roles, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		Rec: rec, Trouble: trouble, root: root, dir: dir, roles: roles, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 		jobs: map[string]*Job{}, runs: map[string][]*runTrace{}, lastHost: 100,
 	}
 	rec.Log("disruption: %t", b.Trouble)
