--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -14,6 +14,7 @@
 	DeleteJob        *DeleteJob        `cbor:"10,keyasint,omitempty"`
 	RecordHostOrders *RecordHostOrders `cbor:"11,keyasint,omitempty"`
 	SettleSilence    *SettleSilence    `cbor:"12,keyasint,omitempty"`
+	AdoptRun         *AdoptRun         `cbor:"13,keyasint,omitempty"`
 }
 
 // AcceptJob stores a submitted job. Repeating it for the same ID has no effect.
@@ -88,6 +89,14 @@
 	Crashed  bool          `cbor:"8,keyasint,omitempty"`
 }
 
+// AdoptRun records that another incarnation than the recorded one holds a run: an order
+// names an executor by its ID, so that the next one with the ID may have started it.
+type AdoptRun struct {
+	Task     TaskRef `cbor:"1,keyasint"`
+	Run      int     `cbor:"2,keyasint"`
+	Executor int     `cbor:"3,keyasint"`
+}
+
 // SettleSilence records what became of an executor whose silence was recorded as a
 // loss under the task, with the given evidence.
 type SettleSilence struct {
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -262,6 +262,8 @@
 		return s.recordHostOrders(c.RecordHostOrders)
 	case c.SettleSilence != nil:
 		return s.settleSilence(c.SettleSilence)
+	case c.AdoptRun != nil:
+		return s.adoptRun(c.AdoptRun)
 	}
 	return fault.New(fault.Internal, "command is empty or of an unknown kind")
 }
@@ -350,6 +352,19 @@
 	return nil
 }
 
+// adoptRun has no effect on a run that has ended meanwhile.
+func (s *State) adoptRun(a *AdoptRun) *fault.Error {
+	if s.executors[a.Executor] == nil {
+		return fault.New(fault.Conflict, "executor %d is not registered", a.Executor)
+	}
+	if task, _ := s.Task(a.Task); task != nil {
+		if index := task.runIndex(a.Run); index >= 0 {
+			task.Runs[index].Executor = a.Executor
+		}
+	}
+	return nil
+}
+
 func (s *State) endRun(e *EndRun) *fault.Error {
 	executor := s.executors[e.Executor]
 	if e.Number > 0 {
--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -196,9 +196,14 @@
 	}
 	for _, o := range slices.Clone(m.sessions.byHost[s.rec.Host]) {
 		if o != s && o.knownSince.Before(sentAt) && o.lastAnswerAt.Before(sentAt) {
-			m.endSession(o, reasonHostReplaced, now)
+			reason := reasonHostReplaced
+			if o.rec.ID == s.rec.ID {
+				reason = reasonRestarted
+			}
+			m.endSession(o, reason, now)
 		}
 	}
+	m.settleReplaced(s, sentAt, now)
 }
 
 // isKeptApart reports whether nothing else may start on an executor for now, because
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -134,10 +134,10 @@
 	return reason == reasonRestarted || reason == reasonReplaced || reason == reasonHostReplaced
 }
 
-// endSession concludes that an incarnation has ended, so that none of its runs
-// is active. An order still in transit names the executor and not the
-// incarnation, so after a restart the runs it may start stay open until the
-// first answer of the new incarnation.
+// endSession concludes that an incarnation has ended, so that none of the runs that it
+// has listed is active. The others may be held by the next incarnation under the same
+// ID, unless another executor answers in its place: an order names the executor and not
+// the incarnation, and so does an answer to a start.
 func (m *Manager) endSession(s *session, reason string, now time.Time) {
 	if s.ended {
 		return
@@ -149,56 +149,20 @@
 	if s.cause == endCrashed {
 		m.settleSilence(s, true)
 	}
-	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
+	m.logEvent(Event{Kind: EventExecutorLeft, Executor: s.rec.ID, Incarnation: s.rec.Number, Pool: s.rec.Pool, Host: s.rec.Host, Reason: reason})
 	m.pool(s.rec.Pool).removeSession(s)
 	for _, r := range s.sortedRuns(nil) {
-		if reason == reasonRestarted && (r.state == runOrdered || r.state == runUncertain || r.state == runInherited) {
-			r.setState(runUncertain, now)
-			m.unsettledRuns = append(m.unsettledRuns, r)
-			continue
-		}
-		m.concludeRun(r, jobs.ResultGone, now)
-	}
-	m.removeIfEmpty(s)
-}
-
-// maxOrderDelay is the longest time after which an unanswered order is still
-// carried out. The platform's documentation speaks of seconds; the faults it
-// describes delay an order by at most 12 s.
-const maxOrderDelay = 15 * time.Second
-
-// stepUnsettledRuns concludes runs of ended incarnations. The next incarnation
-// refuses their orders once it has answered this leader; the runs that it had
-// started by then were adopted.
-func (m *Manager) stepUnsettledRuns(now time.Time) {
-	var unsettled []*run
-	for _, r := range m.unsettledRuns {
-		next := m.sessions.get(m.newestNumber(r.session.rec.ID))
 		switch {
-		case r.state != runUncertain:
-		case next != nil && next != r.session && next.confirmed || now.Sub(r.stateSince) > maxOrderDelay:
-			m.concludeRun(r, jobs.ResultGone, now)
+		case r.state == runProposed || r.state == runEnded:
+		case reason == reasonReplaced || reason == reasonHostReplaced:
+			m.concludeRun(r, jobs.ResultGone, proofReplaced, now)
+		case r.isListed():
+			m.concludeRun(r, jobs.ResultGone, proofIncarnationEnded, now)
 		default:
-			unsettled = append(unsettled, r)
+			m.leaveUnsettled(r, now)
 		}
 	}
-	m.unsettledRuns = unsettled
-}
-
-// adoptRun moves a run of an ended incarnation to the session of the
-// incarnation that runs it. It returns nil if there is no such run.
-func (m *Manager) adoptRun(s *session, key runKey, now time.Time) *run {
-	r := m.runs[key]
-	if r == nil || r.state != runUncertain || !r.session.ended || r.session.rec.ID != s.rec.ID {
-		return nil
-	}
-	old := r.session
-	old.remove(r)
-	r.session = s
-	s.add(r)
-	r.setState(runActive, now)
-	m.removeIfEmpty(old)
-	return r
+	m.removeIfEmpty(s)
 }
 
 func (m *Manager) newestNumber(id string) int {
@@ -258,8 +222,8 @@
 // expired.
 func (m *Manager) expireLease(s *session, now time.Time) {
 	for _, r := range s.sortedRuns(nil) {
-		if r.state != runProposed && r.state != runEnded {
-			m.concludeRun(r, jobs.ResultLapsed, now)
+		if r.state != runProposed && r.state != runEnded && !m.mayHoldAfterLease(r, now) {
+			m.concludeRun(r, jobs.ResultLapsed, proofLeaseExpired, now)
 		}
 	}
 }
@@ -360,12 +324,13 @@
 		return
 	}
 	if !s.confirmed {
-		s.confirm()
+		s.confirm(now)
 		m.endPredecessors(s, sentAt, now)
 		m.requestPasses()
 	}
 	m.recordEnds(s, o.Ended, now)
 	m.reconcileRuns(s, o, sentAt, now)
+	s.hasListedAll = s.hasListedAll || len(o.Ended) < maxEndsListed
 }
 
 // recordAnswer processes the part common to all answers of an executor and
@@ -397,9 +362,13 @@
 		m.endSession(s, reasonRestarted, now)
 		return false
 	}
-	s.readClock(o.Clock, o.AnsweredAt)
 	s.lastHeardAt, s.lastAnswerAt = now, now
-	m.settleSilence(s, false)
+	if o.StartedAt == s.rec.StartedAt {
+		// An answer without a start may come from the next incarnation under the ID,
+		// whose clock is another one.
+		s.readClock(o.Clock, o.AnsweredAt)
+		m.settleSilence(s, false)
+	}
 	if s.failures > 0 {
 		s.failures, s.rackLost = 0, false
 		m.logEvent(Event{Kind: EventExecutorAnswers, Executor: s.rec.ID, Pool: s.rec.Pool})
@@ -518,12 +487,12 @@
 	case runInherited, runBlocked:
 		// Executors refuse the orders of earlier leaders once they have seen
 		// this leader's token, and a blocked run cannot start.
-		m.concludeRun(r, jobs.ResultNotStarted, now)
+		m.concludeRun(r, jobs.ResultNotStarted, proofAbsent, now)
 	case runUncertain:
 		m.orderStop(r, r.session, now)
 	case runActive:
 		if !truncated {
-			m.concludeRun(r, jobs.ResultGone, now)
+			m.concludeRun(r, jobs.ResultGone, proofAbsent, now)
 		}
 	default:
 	}
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -70,10 +70,12 @@
 	Task     jobs.TaskRef
 	Run      int
 	Executor string
-	Pool     string
-	Host     string
-	Reason   string
-	Age      time.Duration
+	// Incarnation is the number of the executor's incarnation.
+	Incarnation int
+	Pool        string
+	Host        string
+	Reason      string
+	Age         time.Duration
 }
 
 // EventKind is the kind of a logged decision.
@@ -84,6 +86,7 @@
 	EventJobAccepted EventKind = iota + 1
 	EventRequestRefused
 	EventRunOrdered
+	EventRunConcluded
 	EventRunEnded
 	EventJobCancelled
 	EventJobFinished
@@ -228,8 +231,8 @@
 func (m *Manager) inheritRun(j *job, ref jobs.TaskRef, live jobs.Run, now time.Time) {
 	s := m.sessions.get(live.Executor)
 	if s == nil {
-		// A later incarnation adopted the run, and its list no longer names the
-		// earlier one.
+		// An earlier version did not record that a later incarnation had adopted the
+		// run.
 		s = &session{rec: &jobs.Executor{Number: live.Executor}, runs: map[runKey]*run{}, ended: true}
 		m.sessions.add(s)
 	}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -59,23 +59,6 @@
 	m.removeIfEmpty(r.session)
 }
 
-// concludeRun proposes an end of a run that no executor has listed.
-func (m *Manager) concludeRun(r *run, result jobs.RunResult, now time.Time) {
-	if r.state == runEnded || r.state == runProposed {
-		return
-	}
-	r.setState(runEnded, now)
-	end := &jobs.EndRun{Task: r.key.task, Run: r.key.run, Executor: r.session.rec.Number, Result: result, Checkpoint: r.checkpoint, Evidence: m.crashEvidence(r, result)}
-	if end.Evidence != 0 && end.Evidence != jobs.Survived {
-		end.Crashed = r.session.cause == endCrashed
-		if result == jobs.ResultLapsed {
-			r.session.lapsed = append(r.session.lapsed, lapsedRun{task: r.key.task, evidence: end.Evidence})
-		}
-		m.logEvent(Event{Kind: EventTaskSuspected, Job: r.key.task.Job, Task: r.key.task, Run: r.key.run, Executor: r.session.rec.ID, Pool: r.session.rec.Pool, Reason: end.Evidence.String()})
-	}
-	m.propose(jobs.Command{EndRun: end})
-}
-
 // runBegun orders the start of a run whose BeginRun was applied.
 func (m *Manager) runBegun(b *jobs.BeginRun, err *fault.Error, now time.Time) {
 	r := m.runs[runKey{b.Task, b.Run}]
@@ -93,7 +76,7 @@
 	}
 	r.setState(runOrdered, now)
 	if r.session.ended || r.session.draining || r.stopWanted || r.job.rec.Phase.IsFinal() {
-		m.concludeRun(r, jobs.ResultNotStarted, now)
+		m.concludeRun(r, jobs.ResultNotStarted, proofNotOrdered, now)
 		return
 	}
 	m.orderStart(r, now)
@@ -115,35 +98,50 @@
 	m.logEvent(Event{Kind: EventRunOrdered, Job: r.key.task.Job, Task: r.key.task, Run: r.key.run, Executor: s.rec.ID, Pool: s.rec.Pool, Age: now.Sub(s.lastHeardAt)})
 }
 
-// startAnswered processes the answer to a start.
+// startAnswered processes the answer to a start. That the run has started does not show
+// which incarnation has started it. That the order had no effect is proof also after
+// its incarnation has ended.
 func (m *Manager) startAnswered(s *session, r *run, o Outcome, now time.Time) {
-	if o.Verdict == WrongInstance && r.state == runOrdered && m.runs[r.key] == r {
+	isOpen := m.runs[r.key] == r && (r.state == runOrdered || r.state == runUncertain && s.ended)
+	if o.Verdict == WrongInstance && isOpen {
 		// The session ends with this answer. Its other runs may have started there;
 		// this one has not.
-		m.concludeRun(r, jobs.ResultNotStarted, now)
+		m.concludeRun(r, jobs.ResultNotStarted, proofRefused, now)
 	}
 	m.recordAnswer(s, o, now)
-	if r.state != runOrdered || m.runs[r.key] != r {
+	if !isOpen {
 		return
 	}
 	switch o.Verdict {
-	case OK:
-		r.setState(runActive, now)
-		r.markStarted(now)
-		if r.suspect {
-			m.holdFor(s, suspectProvingTime, now)
+	case OK, NoAnswer:
+		if r.state == runOrdered {
+			m.startUnsettled(s, r, o.Verdict, now)
 		}
-	case NotSent, NotPermitted, WrongInstance:
-		m.concludeRun(r, jobs.ResultNotStarted, now)
+	case NotSent, NotPermitted:
+		m.concludeRun(r, jobs.ResultNotStarted, proofNotOrdered, now)
 	case Unhealthy:
-		m.distrust(s, "executor reports itself unhealthy", now)
-		m.concludeRun(r, jobs.ResultNotStarted, now)
+		if !s.ended {
+			m.distrust(s, "executor reports itself unhealthy", now)
+		}
+		m.concludeRun(r, jobs.ResultNotStarted, proofRefused, now)
 	case Refused:
 		m.startRefused(s, r, o.Refusal, now)
-	case NoAnswer:
+	default:
+	}
+}
+
+// startUnsettled processes the answer to a start that may have had an effect.
+func (m *Manager) startUnsettled(s *session, r *run, v Verdict, now time.Time) {
+	if v == NoAnswer {
 		r.startBroken = now.Sub(r.orderedAt) < brokenCallTime
 		r.setState(runUncertain, now)
 		m.holdNow(s, now)
+		return
+	}
+	r.setState(runActive, now)
+	r.markStarted(now)
+	if r.suspect {
+		m.holdFor(s, suspectProvingTime, now)
 	}
 }
 
@@ -157,7 +155,7 @@
 		r.job.dropTicket(r.key.task, s.rec.ID)
 	default:
 	}
-	m.concludeRun(r, jobs.ResultNotStarted, now)
+	m.concludeRun(r, jobs.ResultNotStarted, proofRefused, now)
 }
 
 // holdNow requests the lists of an executor even if an earlier hold has no
@@ -254,7 +252,7 @@
 		m.updateJob(e.Task.Job, now)
 		return
 	}
-	m.logEvent(Event{Kind: EventRunEnded, Job: e.Task.Job, Task: e.Task, Run: e.Run, Executor: r.session.rec.ID, Pool: r.job.pool.name, Reason: e.Result.String(), Age: now.Sub(r.stateSince)})
+	m.logEvent(Event{Kind: EventRunEnded, Job: e.Task.Job, Task: e.Task, Run: e.Run, Executor: r.session.rec.ID, Incarnation: r.session.rec.Number, Pool: r.job.pool.name, Reason: e.Result.String(), Age: now.Sub(r.stateSince)})
 	if e.Result == jobs.ResultDone && !r.orderedAt.IsZero() {
 		m.recordDuration(r, r.stateSince.Sub(r.orderedAt))
 	}
--- a/internal/core/manager/session.go
+++ b/internal/core/manager/session.go
@@ -73,7 +73,7 @@
 	suspect     bool
 	provingTime time.Duration
 	// startedBy is the time by which the run had started as far as known, and
-	// listedAt when the executor last listed it.
+	// listedAt when the incarnation of the session last listed it.
 	startedBy time.Time
 	listedAt  time.Time
 	// startBroken is set when the connection broke before the start was answered.
@@ -102,8 +102,12 @@
 	// foreign is the allocation of listed runs that the leader has no record of.
 	foreign jobs.Resources
 
-	confirmed bool
-	draining  bool
+	confirmed   bool
+	confirmedAt time.Time
+	// hasListedAll is set when the incarnation has answered this leader with a complete
+	// list of its ends.
+	hasListedAll bool
+	draining     bool
 	// ended is set when the incarnation has certainly ended; cause says how.
 	ended bool
 	cause endCause
@@ -188,22 +192,28 @@
 }
 
 // confirm records that the executor has seen this leader's token.
-func (s *session) confirm() { s.confirmed, s.leaseExpiry = true, time.Time{} }
+func (s *session) confirm(now time.Time) {
+	s.confirmed, s.confirmedAt, s.leaseExpiry = true, now, time.Time{}
+}
 
 // leaseExpiresAt returns the time by which every lease of the incarnation has
-// certainly expired. A leader that has sent no lease waits for those that other
-// leaders may have sent before it knew the incarnation.
+// certainly expired. Until it has seen this leader's token, the incarnation takes
+// leases from orders of other leaders and from those for the incarnation before it,
+// which are times on another clock. It shortens them to maxLease.
 func (s *session) leaseExpiresAt(maxLease time.Duration) time.Time {
-	inherited := s.knownSince.Add(time.Duration(float64(maxLease) / minClockRate))
+	inherited := s.knownSince
+	if s.confirmed {
+		inherited = s.confirmedAt
+	}
+	inherited = inherited.Add(time.Duration(float64(maxLease) / minClockRate))
 	if s.leaseEnd == 0 || s.clockReadAt.IsZero() {
 		return inherited
 	}
 	remaining := time.Duration(float64(s.leaseEnd-s.clock)/minClockRate) * time.Millisecond
-	granted := s.clockReadAt.Add(remaining)
-	if !s.confirmed && granted.Before(inherited) {
-		return inherited
+	if granted := s.clockReadAt.Add(remaining); granted.After(inherited) {
+		return granted
 	}
-	return granted
+	return inherited
 }
 
 // isSchedulable reports whether new runs may be placed on the executor.
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -10,6 +10,7 @@
 	manager.EventJobAccepted:        logevent.JobAccepted,
 	manager.EventRequestRefused:     logevent.JobRefused,
 	manager.EventRunOrdered:         logevent.RunOrdered,
+	manager.EventRunConcluded:       logevent.RunConcluded,
 	manager.EventRunEnded:           logevent.RunEnded,
 	manager.EventJobCancelled:       logevent.JobCancelled,
 	manager.EventJobFinished:        logevent.JobFinished,
@@ -44,6 +45,9 @@
 	if e.Run != 0 {
 		fields["number"] = e.Run
 	}
+	if e.Incarnation != 0 {
+		fields["incarnation"] = e.Incarnation
+	}
 	if e.Age != 0 {
 		fields["age_ms"] = e.Age.Milliseconds()
 	}
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -52,6 +52,7 @@
 	JobFinished        = Event{1203, "job_finished", logrus.InfoLevel, "job has ended", "reason is its final state, age_ms the time since it was submitted"}
 	RunOrdered         = Event{1204, "run_ordered", logrus.InfoLevel, "start of a task is ordered", "age_ms is the age of the leader's information on the executor"}
 	RunEnded           = Event{1205, "run_ended", logrus.InfoLevel, "run of a task has ended", "reason is the result, age_ms the time in its last state"}
+	RunConcluded       = Event{1209, "run_concluded", logrus.InfoLevel, "run of a task is concluded although no executor listed its end", "reason is the proof, incarnation the one that was ordered, age_ms the time in its last state; see \"A task that started twice\" in OPERATIONS.md"}
 	RunPaced           = Event{1206, "run_paced", logrus.DebugLevel, "pace of a best-effort task is set", "none"}
 	RunStalled         = Event{1207, "run_stalled", logrus.WarnLevel, "run of a task makes no progress and is stopped", "the task starts elsewhere; check the executor"}
 	TaskSuspected      = Event{1208, "task_suspected", logrus.WarnLevel, "executor was lost under a task, which may have crashed it", "reason is the evidence; the task starts apart from others, and its job fails if it goes on"}
@@ -90,7 +91,7 @@
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
 		PeerUnreachable, LeadershipBegan, LeadershipEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
 		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved, MemberChangeWaits, StorageRecovered, SnapshotNotWritten,
-		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected,
+		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected, RunConcluded,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
 		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced, OrderPanicked,
