--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -51,6 +51,8 @@
 type hostInventory struct {
 	byName      map[string]*host
 	listPending bool
+	// listFailures is the number of listings in a row that failed.
+	listFailures int
 	// listedAt is the start of the newest complete listing.
 	listedAt time.Time
 	nextList time.Time
@@ -115,6 +117,9 @@
 	maxListPages = 1000
 	// hostCallTimeout bounds a call to the platform, which may be slow.
 	hostCallTimeout = 2 * time.Second
+	// maxListTimeoutDoublings bounds how often the timeout of a listing and the pause
+	// after a failed one double: 16 s and 4 s.
+	maxListTimeoutDoublings = 3
 	// settleInterval is the time between two checks for orders that have settled. The
 	// records are read only after a change of leader.
 	settleInterval = 500 * time.Millisecond
@@ -209,14 +214,22 @@
 		return
 	}
 	inv.listPending, inv.rows, inv.unreadable, inv.pages, inv.listStartedAt = true, nil, 0, 0, now
-	m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout}, pendingCall{}, now)
+	m.callListHosts("", now)
+}
+
+// callListHosts requests a page of the listing. The timeout doubles with each failure,
+// so that a platform that has become slow still answers in time.
+func (m *Manager) callListHosts(pageToken string, now time.Time) {
+	timeout := hostCallTimeout << min(m.hosts.listFailures, maxListTimeoutDoublings)
+	m.call(Call{Kind: CallListHosts, Timeout: timeout, PageToken: pageToken}, pendingCall{}, now)
 }
 
 // listHostsAnswered processes one page of the listing.
 func (m *Manager) listHostsAnswered(o Outcome, now time.Time) {
 	inv := &m.hosts
 	if o.Verdict != OK {
-		inv.listPending, inv.nextList = false, now.Add(hostOrderInterval)
+		inv.listPending, inv.nextList = false, now.Add(hostOrderInterval<<min(inv.listFailures, maxListTimeoutDoublings))
+		inv.listFailures++
 		return
 	}
 	inv.rows, inv.unreadable = append(inv.rows, o.Hosts...), inv.unreadable+o.UnreadableHosts
@@ -225,9 +238,10 @@
 		return
 	}
 	if o.NextPageToken != "" {
-		m.call(Call{Kind: CallListHosts, Timeout: hostCallTimeout, PageToken: o.NextPageToken}, pendingCall{}, now)
+		m.callListHosts(o.NextPageToken, now)
 		return
 	}
+	inv.listFailures = 0
 	inv.listPending, inv.listedAt, inv.nextList = false, inv.listStartedAt, now.Add(minListInterval)
 	if inv.unreadable == 0 {
 		inv.absenceShownAt = inv.listStartedAt
--- a/internal/core/manager/listing_test.go
+++ b/internal/core/manager/listing_test.go
@@ -35,3 +35,19 @@
 	l.step(time.Second)
 	require.Equal(t, []string{"m-1"}, l.state.Wave(1).Removed)
 }
+
+// Guards against a platform that has become slow and whose listing is given up for ever
+// before it arrives.
+func TestSlowListingGetsMoreTime(t *testing.T) {
+	l := newDirectLeader(t)
+	l.step(time.Second)
+	for _, timeout := range []time.Duration{2, 4, 8, 16, 16} {
+		call := l.take(manager.CallListHosts)
+		require.Equal(t, timeout*time.Second, call.Timeout)
+		l.answer(call, manager.Outcome{Verdict: manager.NoAnswer})
+		l.step(4 * time.Second)
+	}
+	l.answer(l.take(manager.CallListHosts), manager.Outcome{Verdict: manager.OK})
+	l.step(20 * time.Second)
+	require.Equal(t, 2*time.Second, l.take(manager.CallListHosts).Timeout)
+}
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -102,6 +102,7 @@
 	EventRunPaced
 	EventRunStalled
 	EventTaskSuspected
+	EventAdvisorSilent
 	EventLeaderFenced
 )
 
@@ -141,8 +142,7 @@
 	// forecasts are the predictions of durations by queue.
 	forecasts map[string]*forecast.Durations
 
-	// pendingAdvice is the number of unanswered calls to the advisor.
-	pendingAdvice int
+	advisor advisor
 
 	hosts hostInventory
 	// poolsCheckedAt is the time of the last check of the pool sizes.
@@ -165,8 +165,8 @@
 	host    string
 	wave    int64
 	pool    string
-	advice  *advice
-	job     *job
+	// advice is set for a call to the advisor.
+	advice *adviceCall
 }
 
 // endedJob is an ended job whose record is kept until its retention time is
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -240,8 +240,8 @@
 
 func (p *pass) placeStep(j *job, occurrence, stepIndex int) {
 	step := &j.rec.Spec.Steps[stepIndex]
-	if j.hasAdvisor() && !p.hasAdvice(j, stepKey{occurrence, stepIndex}) {
-		return
+	if j.hasAdvisor() {
+		defer p.adviseStep(j, stepKey{occurrence, stepIndex})
 	}
 	if step.Gang {
 		p.placeGang(j, occurrence, stepIndex)
@@ -271,6 +271,18 @@
 	}
 }
 
+// adviseStep asks the advisor for a step of which tasks still wait after it was placed.
+func (p *pass) adviseStep(j *job, key stepKey) {
+	step := &j.rec.Spec.Steps[key.step]
+	for i := range j.tasks[key.occurrence][key.step] {
+		record := &j.rec.Steps[key.occurrence][key.step].Tasks[i]
+		if !record.Done && j.tasks[key.occurrence][key.step][i].liveRuns == 0 && record.MayStart(step) {
+			p.requestAdvice(j, key)
+			return
+		}
+	}
+}
+
 func (p *pass) proposeRun(j *job, ref jobs.TaskRef, number int, s *session) {
 	p.m.addRun(j, ref, number, s, p.now)
 	j.waitingTasks--
@@ -376,7 +388,7 @@
 	if p.isKeptApart(s) || !s.rec.HasLabel(step.Label) || !s.free().Fits(step.Allocation()) || s.health.isFull(p.now) {
 		return false
 	}
-	if j.hasAdvisor() && j.ticket(ref, s.rec.ID) == "" {
+	if j.hasAdvisor() && j.advice[stepKeyOf(ref)].validTicket(s.rec.ID, p.now) == "" {
 		return false
 	}
 	return step.MaxPerExecutor == 0 || j.countOn(s, ref) < step.MaxPerExecutor
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -56,7 +56,8 @@
 	// unguarded are the pools whose executors start whatever they are told.
 	unguarded map[string]bool
 	// order is the order that an executor is carrying out.
-	order sentOrder
+	order   sentOrder
+	advisor advisor
 	// onStart is called with each order to start that is sent, if set.
 	onStart func(manager.Call)
 }
@@ -352,9 +353,7 @@
 		return
 	}
 	if c.Kind == manager.CallAdvise {
-		s.schedule(time.Duration(50+5*len(c.Candidates))*time.Millisecond, func() {
-			finish(manager.Outcome{Verdict: manager.OK, Allowed: []manager.Allowance{{Executor: c.Candidates[0], Ticket: "ticket-" + c.Candidates[0]}}, ValidFor: time.Second})
-		})
+		s.advise(c, finish)
 		return
 	}
 	if c.Kind == manager.CallStart && s.onStart != nil {
@@ -393,6 +392,51 @@
 	})
 }
 
+// advisor simulates the placement advisor. It handles one call at a time, in turn, also
+// those whose caller has given them up.
+type advisor struct {
+	// slowness is the factor by which it exceeds its configured times.
+	slowness  int
+	busyUntil time.Time
+	waiting   int
+	// allows reports whether an executor may run the steps of the queue.
+	allows func(id string) bool
+	// isSilent is set while calls get lost, and calls counts all of them.
+	isSilent bool
+	calls    int
+}
+
+// maxWaitingAdvice is the number of waiting calls from which on the advisor refuses.
+const maxWaitingAdvice = 32
+
+func (s *simulation) advise(c manager.Call, finish func(manager.Outcome)) {
+	a := &s.advisor
+	if a.calls++; a.isSilent {
+		return
+	}
+	if a.waiting >= maxWaitingAdvice {
+		s.schedule(networkDelay, func() { finish(manager.Outcome{Verdict: manager.Unhealthy}) })
+		return
+	}
+	if a.busyUntil.Before(s.now) {
+		a.busyUntil = s.now
+	}
+	timing := s.state.Config().Queue("advised").Advisor
+	handling := time.Duration(timing.PerCall+timing.PerExecutor*int64(len(c.Candidates))) * time.Millisecond
+	a.busyUntil = a.busyUntil.Add(handling * time.Duration(max(a.slowness, 1)))
+	a.waiting++
+	s.schedule(a.busyUntil.Sub(s.now)+networkDelay, func() {
+		a.waiting--
+		o := manager.Outcome{Verdict: manager.OK, ValidFor: time.Second}
+		for _, id := range c.Candidates {
+			if a.allows == nil || a.allows(id) {
+				o.Allowed = append(o.Allowed, manager.Allowance{Executor: id, Ticket: "ticket-" + id})
+			}
+		}
+		finish(o)
+	})
+}
+
 func (s *simulation) executorAt(address string) *executor { return s.executors[address] }
 
 // addHost adds a host and, unless it is in the standby pool, starts its
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -26,6 +26,7 @@
 	manager.EventRunPaced:           logevent.RunPaced,
 	manager.EventRunStalled:         logevent.RunStalled,
 	manager.EventTaskSuspected:      logevent.TaskSuspected,
+	manager.EventAdvisorSilent:      logevent.AdvisorSilent,
 	manager.EventLeaderFenced:       logevent.LeaderFenced,
 }
 
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -61,6 +61,7 @@
 	ExecutorSilent     = Event{1212, "executor_silent", logrus.WarnLevel, "executor does not answer", "its tasks start elsewhere once their lease has ended"}
 	ExecutorAnswers    = Event{1213, "executor_answers", logrus.InfoLevel, "executor answers again", "none"}
 	ExecutorDistrusted = Event{1214, "executor_distrusted", logrus.WarnLevel, "executor temporarily gets no new tasks", "reason is the cause, age_ms the duration"}
+	AdvisorSilent      = Event{1215, "advisor_silent", logrus.WarnLevel, "placement advisor does not answer in time", "tasks of its queues wait; calls are repeated with a back-off. age_ms is the time waited"}
 	JobsConfigured     = Event{1220, "jobs_configured", logrus.InfoLevel, "configuration of queues and pools is in force", "number is its version"}
 	UpkeepWaveStarted  = Event{1221, "upkeep_wave_started", logrus.InfoLevel, "upkeep wave is recorded", "none"}
 	UpkeepBegan        = Event{1222, "upkeep_began", logrus.InfoLevel, "upkeep of a host has begun", "none"}
@@ -92,7 +93,7 @@
 		PeerUnreachable, LeadershipBegan, LeadershipEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
 		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved, MemberChangeWaits, StorageRecovered, SnapshotNotWritten,
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected, RunConcluded,
-		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted,
+		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted, AdvisorSilent,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
 		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced, OrderPanicked,
 		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected, RequestMalformed, RequestUnanswered,
