--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -146,6 +146,10 @@
 	Wave int64 `cbor:"2,keyasint,omitempty"`
 	// Term is the term of the leader that gave the order. Apply sets it.
 	Term uint64 `cbor:"3,keyasint,omitempty"`
+	// Executor is the number of the incarnation on the host when the first of the equal
+	// orders was given, or 0. Only that one and those before it are ended for certain
+	// once one of the orders is answered with success.
+	Executor int `cbor:"4,keyasint,omitempty"`
 }
 
 // DeleteJob removes the record of an ended job after its retention time.
--- a/internal/core/manager/conclude_test.go
+++ b/internal/core/manager/conclude_test.go
@@ -224,3 +224,19 @@
 	l.step(time.Second)
 	require.Len(t, l.state.Executors(), 2, "the record of the old incarnation goes with its last run")
 }
+
+// Guards against an executor that counts as replaced, and its runs as gone, because
+// another one answers at an address that it has left.
+func TestAnswerAtFormerAddressEndsNothing(t *testing.T) {
+	l := newDirectLeader(t)
+	l.report(restartReport(5, 1))
+	l.answer(l.take(manager.CallHold), listing(5, 1000))
+	hold := l.takeFor(manager.CallHold, "i-1")
+	moved := restartReport(5, 2)
+	moved.Address = "a:9"
+	l.report(moved)
+	l.answer(hold, manager.Outcome{Verdict: manager.WrongInstance})
+	require.NotNil(t, l.state.ExecutorByID("i-1"))
+	l.step(time.Second)
+	require.Equal(t, "a:9", l.takeFor(manager.CallHold, "i-1").Address)
+}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -328,6 +328,7 @@
 		m.endPredecessors(s, sentAt, now)
 		m.requestPasses()
 	}
+	m.hostAnswers(s, sentAt, now)
 	m.recordEnds(s, o.Ended, now)
 	m.reconcileRuns(s, o, sentAt, now)
 	s.hasListedAll = s.hasListedAll || len(o.Ended) < maxEndsListed
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -31,6 +31,14 @@
 	// earliest time for the next one.
 	orderPending bool
 	nextOrder    time.Time
+	// endsExecutor is the number of the newest incarnation that the order under way ends
+	// for certain: the one on the host when the first of the equal orders was given, or
+	// 0. An answer that the operation is done may be about the first one.
+	endsExecutor int
+	// mayBeDone is set while the order or an equal one before it has no known outcome
+	// and may have been carried out. orderedWave is the wave of the order, 0 for a move.
+	mayBeDone   bool
+	orderedWave int64
 	// queued is the order that is sent once its record is applied, or nil.
 	queued *queuedOrder
 	// inherited is the recent order of an earlier leader, which may still be under
@@ -99,15 +107,19 @@
 	}
 	h := m.hosts.get(rec.Host)
 	h.pool = rec.Pool
-	minAway := m.cfg.MoveTime
-	if h.wave != 0 {
-		minAway = m.cfg.UpkeepTime
-	}
-	if h.away && now.Sub(h.orderedAt) >= minAway {
+	if h.away && now.Sub(h.orderedAt) >= m.minAway(h) {
 		h.away, h.changedAt, h.target, h.wave = false, now, "", 0
 	}
 }
 
+// minAway returns the time that the order under way keeps the host away.
+func (m *Manager) minAway(h *host) time.Duration {
+	if h.wave != 0 {
+		return m.cfg.UpkeepTime
+	}
+	return m.cfg.MoveTime
+}
+
 const (
 	// minListInterval is the least time between two listings of the platform's
 	// hosts. A listing has a cost, and most changes are known from reports.
@@ -148,13 +160,29 @@
 	return h.inherited != nil && now.Sub(m.startedAt) < m.cfg.HostLease
 }
 
+// isRepeated reports whether an order for the same upkeep of the host may have been
+// carried out before.
+func (h *host) isRepeated(wave int64) bool {
+	return wave != 0 && (h.mayBeDone && h.orderedWave == wave || h.inherited != nil && h.inherited.Wave == wave)
+}
+
 // orderHost queues an order for a host until its record is applied. The host counts
 // as away from now on.
 func (m *Manager) orderHost(h *host, c Call, now time.Time) {
+	switch {
+	case !h.isRepeated(c.Wave):
+		h.endsExecutor, h.mayBeDone = 0, false
+		if s := m.sessionOn(h.name); s != nil {
+			h.endsExecutor = s.rec.Number
+		}
+	case !h.mayBeDone:
+		h.endsExecutor, h.mayBeDone = h.inherited.Executor, true
+	}
+	h.orderedWave = c.Wave
 	h.away, h.changedAt, h.orderedAt, h.orderPending = true, now, now, true
 	c.Timeout, c.Host = hostCallTimeout, h.name
 	h.queued = &queuedOrder{call: c, pending: pendingCall{host: h.name, pool: c.Pool, wave: c.Wave}}
-	m.hosts.unrecorded = append(m.hosts.unrecorded, jobs.HostOrder{Host: h.name, Wave: c.Wave})
+	m.hosts.unrecorded = append(m.hosts.unrecorded, jobs.HostOrder{Host: h.name, Wave: c.Wave, Executor: h.endsExecutor})
 }
 
 // recordHostOrders proposes the record of the queued orders. From time to time it
@@ -171,11 +199,16 @@
 	}
 }
 
-// settledHosts returns the recorded hosts that any leader may order now.
+// settledHosts returns the recorded hosts that any leader may order now. While the upkeep
+// of a host is pending, the record tells the next leader which incarnation an order that
+// may have been carried out has ended.
 func (m *Manager) settledHosts(now time.Time) []string {
 	var settled []string
 	for _, o := range m.state.HostOrders() {
 		h := m.hosts.get(o.Host)
+		if w := m.waves[o.Wave]; w != nil && w.isPending[o.Host] {
+			continue
+		}
 		if !h.orderPending && now.Sub(m.startedAt) >= m.cfg.HostLease && now.Sub(h.orderedAt) >= m.cfg.HostLease {
 			settled = append(settled, o.Host)
 		}
@@ -200,6 +233,50 @@
 	}
 }
 
+// hostOrderDone processes the answer that an order for a host is done. It ends the
+// incarnation that the first of the equal orders was given for. A later one may have
+// started after that order or may be ended by a repeated one: it shows by its next answer
+// that the host is back.
+func (m *Manager) hostOrderDone(h *host, reason string, now time.Time) {
+	h.changedAt, h.mayBeDone = now, false
+	s := m.sessionOn(h.name)
+	if s == nil {
+		return
+	}
+	if s.rec.Number <= h.endsExecutor {
+		m.endSession(s, reason, now)
+		return
+	}
+	if s.reservedFor != actionNone {
+		m.releaseReservation(s)
+	}
+	m.holdNow(s, now)
+}
+
+// hostAnswers marks the host of an executor as back that has answered a call which was
+// sent after the last order for the host was answered, and that the order does not end.
+// An order without an answer may have been under way for as long as it keeps a host away.
+func (m *Manager) hostAnswers(s *session, sentAt, now time.Time) {
+	h := m.hosts.byName[s.rec.Host]
+	if h == nil || !h.away || h.orderPending || s.rec.Number <= h.endsExecutor || !sentAt.After(h.changedAt) {
+		return
+	}
+	if h.mayBeDone && now.Sub(h.orderedAt) < m.minAway(h) {
+		return
+	}
+	h.away, h.changedAt, h.target, h.wave, h.pool = false, now, "", 0, s.rec.Pool
+	if !h.mayBeDone {
+		h.evictedAt = time.Time{}
+	}
+	m.pool(s.rec.Pool).requestPass()
+}
+
+// mayBeEvicted reports whether an order for the executor's host may end it at any moment.
+func (m *Manager) mayBeEvicted(s *session) bool {
+	h := m.hosts.byName[s.rec.Host]
+	return h != nil && (h.orderPending || h.away)
+}
+
 // minAge returns a lower bound of the incarnation's age, from the number of its
 // reports.
 func (s *session) minAge(reportInterval time.Duration) time.Duration {
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -159,6 +159,7 @@
 // pendingCall is a call without an outcome.
 type pendingCall struct {
 	kind    CallKind
+	address string
 	session *session
 	run     *run
 	sentAt  time.Time
@@ -286,7 +287,7 @@
 	if c.Executor > 0 {
 		c.Token = m.term<<incarnationBits | uint64(c.Executor)
 	}
-	pending.kind, pending.sentAt = c.Kind, now
+	pending.kind, pending.address, pending.sentAt = c.Kind, c.Address, now
 	m.pendingCalls[c.ID] = pending
 	m.out.Calls = append(m.out.Calls, c)
 }
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -192,10 +192,8 @@
 	s := m.sessionOn(pending.host)
 	switch o.Verdict {
 	case OK:
-		h.changedAt, h.pool = now, pending.pool
-		if s != nil && s.rec.Pool != pending.pool {
-			m.endSession(s, "host is being moved", now)
-		}
+		h.pool = pending.pool
+		m.hostOrderDone(h, "host is being moved", now)
 		if config := m.state.Config(); config != nil {
 			if pool := config.Pool(pending.pool); pool != nil && pool.Standby {
 				// A host of the standby pool is powered off and sends no
@@ -211,5 +209,6 @@
 		}
 	default:
 		// The order may have been carried out; the next listing shows it.
+		h.mayBeDone = true
 	}
 }
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -325,6 +325,11 @@
 		return
 	}
 	delete(m.pendingCalls, o.ID)
+	if o.Verdict == WrongInstance && pending.session != nil && pending.address != pending.session.rec.Address {
+		// The executor has reported another address meanwhile. That another one answers
+		// at the old address says nothing about it.
+		o.Verdict = NotPermitted
+	}
 	switch pending.kind {
 	case CallHold:
 		m.holdAnswered(pending.session, o, pending.sentAt, now)
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -203,7 +203,7 @@
 	p.needsPass, p.hasWaiting, p.lastPassAt = false, false, now
 	sp := &pass{m: m, pool: p, now: now}
 	for _, s := range p.sessions {
-		if s.isSchedulable(now) && m.knowsCapacity(s, now) {
+		if s.isSchedulable(now) && m.knowsCapacity(s, now) && !m.mayBeEvicted(s) {
 			sp.schedulable = append(sp.schedulable, s)
 		}
 	}
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -93,7 +93,9 @@
 	name, pool, zone, rack string
 	state                  manager.HostState
 	wave                   int64
-	executor               *executor
+	// doneWave is the wave for which the host last had its upkeep.
+	doneWave int64
+	executor *executor
 	// orderTerm and orderedAt are the term and the time of sending of the newest order
 	// that has arrived.
 	orderTerm uint64
@@ -833,6 +835,10 @@
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedUnknownHost}
 	}
 	s.checkOrderOfLeaders(h, c, sentAt)
+	if c.Kind == manager.CallUpkeepHost && h.doneWave == c.Wave || c.Kind == manager.CallMoveHost && h.pool == c.Pool {
+		// The operation is already done.
+		return manager.Outcome{Verdict: manager.OK}
+	}
 	if h.state != manager.HostUp {
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedHostBusy}
 	}
@@ -849,7 +855,7 @@
 		if limit := s.state.Wave(c.Wave).MaxParallel; inUpkeep >= limit {
 			s.violate("wave limit: upkeep of %s begins while %d hosts are down", h.name, inUpkeep)
 		}
-		h.wave = c.Wave
+		h.wave, h.doneWave = c.Wave, c.Wave
 	} else {
 		h.pool = c.Pool
 	}
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -283,19 +283,20 @@
 	}
 	switch {
 	case o.Verdict == OK:
-		h.changedAt = now
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host}})
-		if s := m.sessionOn(pending.host); s != nil {
-			m.endSession(s, "host is in upkeep", now)
-		}
+		m.hostOrderDone(h, "host is in upkeep", now)
 	case o.Verdict == Refused && o.Refusal == RefusedUnknownHost:
 		h.away, h.wave = false, 0
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host, Removed: true}})
-	case o.Verdict == Refused || o.Verdict == NotSent || o.Verdict == NotPermitted:
+	case o.Verdict == Refused && o.Refusal == RefusedHostBusy && h.mayBeDone:
+		// An earlier order may have been carried out and be the reason.
+		h.nextOrder = now.Add(m.cfg.UpkeepTime + upkeepOverhead)
+	case (o.Verdict == Refused || o.Verdict == NotSent || o.Verdict == NotPermitted) && !h.mayBeDone:
 		h.away, h.wave, h.evictedAt = false, 0, time.Time{}
 		delete(w.ordered, pending.host)
 	default:
-		// The order may have been carried out. The host counts as away until an
-		// equal order is answered.
+		// This order or an earlier one may have been carried out. The host counts as
+		// away until an equal order is answered.
+		h.mayBeDone = true
 	}
 }
