--- a/internal/core/manager/conclude_test.go
+++ b/internal/core/manager/conclude_test.go
@@ -101,11 +101,7 @@
 	l := newDirectLeader(t)
 	start := l.startOnFirst()
 	l.answer(start, manager.Outcome{Verdict: manager.OK, Clock: 1100})
-	o := listing(900, 50)
-	for n := range int64(500) {
-		o.Ended = append(o.Ended, manager.EndedRow{Number: n + 1, Task: jobs.TaskRef{Job: "00000000000000ff", Index: int(n)}, Run: 1, How: jobs.ResultDone})
-	}
-	l.answer(l.restart(), o)
+	l.answer(l.restart(), truncatedListing(900, 50))
 	require.Zero(t, l.count(manager.CallStart))
 	rest := listing(900, 60)
 	rest.Ended = []manager.EndedRow{{Number: 501, Task: start.Task, Run: start.Run, How: jobs.ResultDone}}
@@ -240,3 +236,73 @@
 	l.step(time.Second)
 	require.Equal(t, "a:9", l.takeFor(manager.CallHold, "i-1").Address)
 }
+
+// truncatedListing returns a list that is full of ends of an unknown job.
+func truncatedListing(startedAt, clock int64) manager.Outcome {
+	o := listing(startedAt, clock)
+	for n := range int64(500) {
+		o.Ended = append(o.Ended, manager.EndedRow{Number: n + 1, Task: jobs.TaskRef{Job: "00000000000000ff", Index: int(n)}, Run: 1, How: jobs.ResultDone})
+	}
+	return o
+}
+
+// Guards against a task that starts again after its end, because the list of ends was
+// truncated before it: a run that an earlier leader ordered, one that the executor has
+// stopped, and one without an answer are concluded from complete lists only.
+func TestTruncatedListConcludesNothing(t *testing.T) {
+	for name, prepare := range map[string]func(l *directLeader, start manager.Call){
+		"inherited": func(l *directLeader, start manager.Call) {
+			l.answer(start, manager.Outcome{Verdict: manager.OK})
+			l.lead()
+			l.report(otherReport(2))
+			l.answer(l.takeFor(manager.CallHold, "i-2"), listing(3, 2000))
+		},
+		"active": func(l *directLeader, start manager.Call) {
+			l.answer(start, manager.Outcome{Verdict: manager.OK})
+			l.step(10 * time.Millisecond)
+			l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 1100, runningRow(start)))
+		},
+		"stopped": func(l *directLeader, start manager.Call) {
+			l.answer(start, manager.Outcome{Verdict: manager.NoAnswer})
+			for l.count(manager.CallStop) == 0 {
+				l.step(300 * time.Millisecond)
+				l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 1400))
+			}
+			l.answer(l.take(manager.CallStop), manager.Outcome{Verdict: manager.OK})
+		},
+		"without an answer": func(l *directLeader, start manager.Call) {
+			l.answer(start, manager.Outcome{Verdict: manager.NoAnswer})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newDirectLeader(t)
+			start := l.startOnFirst()
+			prepare(l, start)
+			for l.countFor(manager.CallHold, "i-1") > 0 {
+				l.answer(l.takeFor(manager.CallHold, "i-1"), manager.Outcome{Verdict: manager.NoAnswer})
+			}
+			l.step(300 * time.Millisecond)
+			l.answer(l.takeFor(manager.CallHold, "i-1"), truncatedListing(5, 1500))
+			require.Zero(t, l.count(manager.CallStart))
+			require.Zero(t, l.count(manager.CallStop))
+			rest := listing(5, 1600)
+			rest.Ended = []manager.EndedRow{{Number: 501, Task: start.Task, Run: start.Run, How: jobs.ResultDone}}
+			hold := l.takeFor(manager.CallHold, "i-1")
+			require.EqualValues(t, 500, hold.RecordedEnd)
+			l.answer(hold, rest)
+			require.Zero(t, l.count(manager.CallStart))
+			require.Equal(t, jobs.PhaseCompleted, l.state.Job(concludedJob).Phase)
+		})
+	}
+}
+
+// countFor returns the number of open calls of a kind to an executor.
+func (l *directLeader) countFor(kind manager.CallKind, instance string) int {
+	count := 0
+	for _, c := range l.calls {
+		if c.Kind == kind && c.Instance == instance {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -331,7 +331,7 @@
 	m.hostAnswers(s, sentAt, now)
 	m.recordEnds(s, o.Ended, now)
 	m.reconcileRuns(s, o, sentAt, now)
-	s.hasListedAll = s.hasListedAll || len(o.Ended) < maxEndsListed
+	s.hasListedAll = s.hasListedAll || o.isComplete()
 }
 
 // recordAnswer processes the part common to all answers of an executor and
@@ -428,9 +428,11 @@
 		}
 	}
 	s.foreign = foreign
-	for _, r := range s.sortedRuns(nil) {
-		if listed[r.key] == nil && r.stateSince.Before(sentAt) {
-			m.handleMissingRun(r, len(o.Ended) >= maxEndsListed, now)
+	if o.isComplete() {
+		for _, r := range s.sortedRuns(nil) {
+			if listed[r.key] == nil && r.stateSince.Before(sentAt) {
+				m.handleMissingRun(r, now)
+			}
 		}
 	}
 	m.stopStalledRuns(s, now)
@@ -478,12 +480,16 @@
 	r.progress, r.load = row.Percent, row.Load
 }
 
-// maxEndsListed is the largest number of ends in one answer of an executor.
+// maxEndsListed is the largest number of ends in one answer of an executor. It lists
+// the others once these are acknowledged.
 const maxEndsListed = 500
 
-// handleMissingRun processes the absence of a run from the executor's list. The
-// end of the run may be missing too if the list of ends is truncated.
-func (m *Manager) handleMissingRun(r *run, truncated bool, now time.Time) {
+// isComplete reports whether the lists hold every run that is active or whose end is
+// not acknowledged, so that they show which runs the executor does not have.
+func (o *Outcome) isComplete() bool { return len(o.Ended) < maxEndsListed }
+
+// handleMissingRun processes the absence of a run from the executor's complete lists.
+func (m *Manager) handleMissingRun(r *run, now time.Time) {
 	switch r.state {
 	case runInherited, runBlocked:
 		// Executors refuse the orders of earlier leaders once they have seen
@@ -492,9 +498,7 @@
 	case runUncertain:
 		m.orderStop(r, r.session, now)
 	case runActive:
-		if !truncated {
-			m.concludeRun(r, jobs.ResultGone, proofAbsent, now)
-		}
+		m.concludeRun(r, jobs.ResultGone, proofAbsent, now)
 	default:
 	}
 }
