--- a/cmd/dock-cell/main.go
+++ b/cmd/dock-cell/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"net/http"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"laburnumdock/internal/logevent"
 	"laburnumdock/internal/process"
 	"laburnumdock/internal/role"
@@ -22,16 +24,17 @@
 				return err
 			}
 			defer log.Flush()
-			return role.Cell(ctx, s, log, adapter(s, log))
+			return role.Cell(ctx, s, log, adapter(s, log, metrics.NewRegistry()))
 		}
 	})
 }
 
-func adapter(s *settings.Cell, log *logevent.Logger) role.CellPlatform {
+func adapter(s *settings.Cell, log *logevent.Logger, registry metrics.Registry) role.CellPlatform {
 	return role.CellPlatform{
-		Client: platform.NewClient(platform.ClientConfig{HostsAPI: *s.HostsAPI, Advisor: *s.Advisor, Holder: *s.Name, Log: log}),
+		Metrics: registry,
+		Client:  platform.NewClient(platform.ClientConfig{HostsAPI: *s.HostsAPI, Advisor: *s.Advisor, Holder: *s.Name, Log: log, Metrics: registry}),
 		Handler: func(c *role.CellHost) http.Handler {
-			return platform.ControlHandler(c, int64(*s.MaxBodyBytes), log)
+			return platform.ControlHandler(c, int64(*s.MaxBodyBytes), log, registry)
 		},
 	}
 }
--- a/internal/core/manager/departed_test.go
+++ b/internal/core/manager/departed_test.go
@@ -84,3 +84,20 @@
 		})
 	}
 }
+
+// Guards against an executor whose reports are ignored for ever after another writer has
+// sent one with a very high sequence number.
+func TestReportsAreReadAgainAfterOddSequence(t *testing.T) {
+	l := newDirectLeader(t)
+	l.report(departedReport(1))
+	l.confirm()
+	l.report(departedReport(1 << 49))
+	shrunk := departedReport(2)
+	shrunk.Capacity.CPU = 400
+	l.report(shrunk)
+	require.EqualValues(t, 1000, l.state.ExecutorByID("i-1").Capacity.CPU)
+	l.step(16 * time.Second)
+	shrunk.Sequence = 12
+	l.report(shrunk)
+	require.EqualValues(t, 400, l.state.ExecutorByID("i-1").Capacity.CPU)
+}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -39,10 +39,10 @@
 		m.endSession(s, "deregistered", now)
 		return
 	}
-	if r.Sequence <= s.sequence {
+	if s.isLateReport(r, now) {
 		return
 	}
-	s.sequence, s.lastHeardAt = r.Sequence, now
+	s.sequence, s.reportedAt, s.lastHeardAt = r.Sequence, now, now
 	s.readClock(r.Clock, now)
 	if r.Draining && !s.draining {
 		s.draining = true
@@ -59,6 +59,16 @@
 	m.propose(jobs.Command{RegisterExecutor: &jobs.RegisterExecutor{Executor: next}})
 }
 
+// maxReportDelay is the longest time for which a report may be delayed, as an order.
+// After it a lower sequence number is not that of a late report: the higher one came
+// from another writer and would keep out all others of the incarnation.
+const maxReportDelay = maxOrderDelay
+
+// isLateReport reports whether a later report of the incarnation has arrived before.
+func (s *session) isLateReport(r Report, now time.Time) bool {
+	return r.Sequence <= s.sequence && now.Sub(s.reportedAt) <= maxReportDelay
+}
+
 // registerNew proposes the record of an unknown incarnation.
 func (m *Manager) registerNew(r Report) {
 	if r.Leaving || m.registering[r.ID] >= max(r.StartedAt, 1) {
--- a/internal/core/manager/session.go
+++ b/internal/core/manager/session.go
@@ -128,8 +128,10 @@
 	lastHeardAt time.Time
 	// lastAnswerAt is when an answer to a call last arrived.
 	lastAnswerAt time.Time
-	// sequence is the sequence number of the newest report of this incarnation.
-	sequence int64
+	// sequence is the sequence number of the newest report of this incarnation, which
+	// arrived at reportedAt.
+	sequence   int64
+	reportedAt time.Time
 	// describedAt is when this leader last knew from a report that the record describes
 	// the executor.
 	describedAt time.Time
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -67,9 +67,10 @@
 	UpkeepBegan        = Event{1222, "upkeep_began", logrus.InfoLevel, "upkeep of a host has begun", "none"}
 	HostMoved          = Event{1223, "host_moved", logrus.InfoLevel, "host moves to another pool", "none"}
 	OrderFailed        = Event{1224, "order_failed", logrus.DebugLevel, "order to an executor or the platform had no effect", "the job manager determines the outcome; see the events of the executor"}
-	ReportRefused      = Event{1225, "report_refused", logrus.WarnLevel, "report of an executor cannot be read", "it names no usable executor; check its sender"}
+	ReportRefused      = Event{1225, "report_refused", logrus.WarnLevel, "report of an executor is refused", "it names no usable executor; check its sender. number counts the refused ones, of which one in 10 s is logged"}
 	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to correct"}
 	ProxyLost          = Event{1227, "helper_lost", logrus.WarnLevel, "proxy replica that makes calls for the leader has failed", "none; other replicas make the calls, and the outcome of its orders is looked up"}
+	HostRefused        = Event{1228, "host_refused", logrus.WarnLevel, "row of the platform's listing of hosts is left out", "the others are used; check its writer. number counts the refused ones, of which one in 10 s is logged"}
 	LeaderFenced       = Event{1230, "leader_fenced", logrus.WarnLevel, "an executor has seen a newer leader", "none; this replica learns that it was replaced"}
 	OrderPanicked      = Event{1231, "order_panicked", logrus.ErrorLevel, "order ended in a programming error and counts as unanswered", "report the stack; the process goes on"}
 )
@@ -95,7 +96,7 @@
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected, RunConcluded,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted, AdvisorSilent,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
-		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, LeaderFenced, OrderPanicked,
+		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, HostRefused, LeaderFenced, OrderPanicked,
 		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected, RequestMalformed, RequestUnanswered,
 	}
 }
--- a/internal/role/cell.go
+++ b/internal/role/cell.go
@@ -22,6 +22,8 @@
 // CellPlatform is the adapter of a cell's replica to the platform.
 type CellPlatform struct {
 	Client orders.PlatformClient
+	// Metrics is the registry of the whole process.
+	Metrics metrics.Registry
 	// Handler returns the handler for executors and operators.
 	Handler func(c *CellHost) http.Handler
 }
@@ -55,7 +57,7 @@
 // Cell runs a replica of a cell until ctx ends.
 func Cell(ctx context.Context, s *settings.Cell, log *logevent.Logger, platform CellPlatform) error {
 	setMemoryLimit(*s.MemoryMB)
-	registry := metrics.NewRegistry()
+	registry := platform.Metrics
 	cfg, err := cellConfig(s, log, registry, platform.Client)
 	if err != nil {
 		return err
