--- a/internal/core/manager/disruption_test.go
+++ b/internal/core/manager/disruption_test.go
@@ -107,6 +107,34 @@
 	t.Run("all", func(t *testing.T) { runDisruptionDays(t, seeds, disruptions) })
 }
 
+// Guards against a rack-local gang that never starts once one rack lacks an executor,
+// although other racks have room. RANDOM_DAYS sets the number of days.
+func TestRackLocalGangAfterLossOfExecutor(t *testing.T) {
+	seeds := 5
+	if more, err := strconv.Atoi(os.Getenv("RANDOM_DAYS")); err == nil {
+		seeds = more
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSimulation(t, seed+1000)
+			rng := rand.New(rand.NewPCG(seed, 4))
+			for range 12 {
+				s.addHost("b")
+			}
+			s.setAdvisor(50, 5)
+			s.advance(3 * time.Second)
+			s.crashReturns = []crashReturn{returnNever}
+			s.hosts[fmt.Sprintf("host-%03d", rng.IntN(12))].executor.crash()
+			s.advance(time.Duration(10+rng.IntN(10)) * time.Second)
+			spec := &jobs.Spec{Payload: "job", Steps: []jobs.Step{{Count: 4, Gang: true, RackLocal: true, Demand: jobs.Resources{CPU: 20_000, MemoryMB: 1000}, Estimate: 1000}}}
+			id := s.submit("/cuts/", spec)
+			s.advance(14 * time.Second)
+			s.requireCompleted([]string{id}, true)
+			s.requireNoViolations()
+		})
+	}
+}
+
 // requireEnds requires that the jobs end within five minutes: after a crash under hundreds
 // of tasks these start apart from each other, one every 0.3 s on an executor. Executors
 // restart so often that two of them may crash under one task by chance, after which the
