--- a/review/bed2/added.go
+++ b/review/bed2/added.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// added is the case of machines that are added to the pool of machines that are off, and are
-// due for upkeep a little later.
+// added is the case of machines that are added to a service and are due for upkeep a little
+// later, when the system has no work for them and has moved them to the pool of machines that
+// are off.
 func added(b *bed) {
 	const sinceAdded = 4 * time.Second
 	b.pools, b.standby = []string{"desk"}, "spare"
@@ -17,7 +18,8 @@
 	later := []string{"m-18", "m-19"}
 	if !b.trouble {
 		// The same machines are there from the start.
-		machines["spare"] += len(later)
+		machines["desk"] += len(later)
+		later = []string{"m-10", "m-11"}
 	}
 	if !b.begin(hostRoom, machines, routeOf("proof", "desk", 2)) {
 		return
@@ -31,14 +33,16 @@
 	time.Sleep(2 * time.Second)
 	if b.trouble {
 		for i, name := range later {
+			m := &machine{bed: b, name: name, rack: "r-9", zone: zones[i], pool: "desk", state: "up", addr: b.net.host(1, 90+i)}
 			b.mu.Lock()
-			b.machines = append(b.machines, &machine{bed: b, name: name, rack: "r-9", zone: zones[i], pool: "spare", state: "up", addr: b.net.host(1, 90+i)})
+			b.machines = append(b.machines, m)
 			b.mu.Unlock()
-			b.note("machine %s is added to spare", name)
+			b.note("machine %s is added to desk", name)
+			m.boot()
 		}
 	}
 	time.Sleep(sinceAdded)
-	wave := append(append([]string{}, later...), "m-01", "m-02", "m-10")
+	wave := append(append([]string{}, later...), "m-01", "m-02", "m-03")
 	b.startWave(1, 24, wave...)
 	for range 60 {
 		time.Sleep(250 * time.Millisecond)
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -19,7 +19,7 @@
 	notRun   = 2
 )
 
-var cases = map[string]func(*bed){"crashes": crashes, "waiting": waiting, "pending": pending, "budget": budget, "upkeep": upkeep, "listing": listing, "added": added, "storm": storm}
+var cases = map[string]func(*bed){"crashes": crashes, "waiting": waiting, "pending": pending, "budget": budget, "upkeep": upkeep, "listing": listing, "added": added, "odd": odd, "storm": storm}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
