--- a/review/bed2/cases.go
+++ b/review/bed2/cases.go
@@ -59,6 +59,7 @@
 // waiting is the same with another check: whether what was accepted runs once all is calm.
 func waiting(b *bed) {
 	b.playCrashes(540*time.Millisecond, time.Second, 900*time.Millisecond, 45, 5)
+	b.askStates()
 	watch := b.watchWaiting()
 	time.Sleep(lostAfter + 500*time.Millisecond)
 	watch()
@@ -108,6 +109,18 @@
 	b.note("the traffic and the crashes ended %.1f s before", time.Since(calm).Seconds())
 }
 
+// askStates asks for the state of each accepted job, so that those that have ended are known.
+func (b *bed) askStates() {
+	b.mu.Lock()
+	list := append([]*job{}, b.order...)
+	b.mu.Unlock()
+	for _, j := range list {
+		if !j.accepted.IsZero() {
+			b.ask(j)
+		}
+	}
+}
+
 // askAll asks for all accepted jobs, and notes a breach for each one that is shown as failed
 // although none of its tasks has failed as often as the queue allows.
 func (b *bed) askAll() {
--- a/review/bed2/waiting.go
+++ b/review/bed2/waiting.go
@@ -2,7 +2,10 @@
 
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // sampleEvery is the time between two looks at what runs.
 const sampleEvery = 100 * time.Millisecond
@@ -14,7 +17,7 @@
 func (b *bed) watchWaiting() func() {
 	stop, done := make(chan struct{}), make(chan struct{})
 	since := map[string]time.Time{}
-	broken := map[string]bool{}
+	found := map[string]string{}
 	go func() {
 		defer close(done)
 		for {
@@ -35,9 +38,8 @@
 				if since[j.id].IsZero() {
 					since[j.id] = now
 				}
-				if now.Sub(since[j.id]) >= lostAfter && !broken[j.id] {
-					broken[j.id] = true
-					b.breachLocked("LOST: task %s of accepted job %s could run and doesn't for %s; %d of %d thousandths of a core are in use", name, j.id, lostAfter, rooms.used.Cpu, rooms.total.Cpu)
+				if now.Sub(since[j.id]) >= lostAfter && found[j.id] == "" {
+					found[j.id] = fmt.Sprintf("task %s of accepted job %s could run and doesn't for %s; %d of %d thousandths of a core are in use", name, j.id, lostAfter, rooms.used.Cpu, rooms.total.Cpu)
 				}
 			}
 			b.mu.Unlock()
@@ -46,6 +48,18 @@
 	return func() {
 		close(stop)
 		<-done
+		b.mu.Lock()
+		list := append([]*job{}, b.order...)
+		b.mu.Unlock()
+		for _, j := range list {
+			if found[j.id] == "" {
+				continue
+			}
+			// A job that has been given up meanwhile does not wait.
+			if status, state := b.ask(j); status == 200 && !isFinal(state) {
+				b.breach("LOST: %s; the job is shown as %s", found[j.id], state)
+			}
+		}
 	}
 }
 
@@ -92,7 +106,7 @@
 // lasting tasks from lastingAfter after its last run on, though the turn of a task has
 // come, and names that task.
 func (b *bed) waitsLocked(j *job) (string, resources, bool) {
-	if j.accepted.IsZero() || j.shown == "completed" || j.shown == "failed" || !j.cancelSent.IsZero() {
+	if j.accepted.IsZero() || isFinal(j.shown) || !j.cancelSent.IsZero() {
 		return "", resources{}, false
 	}
 	first, needs := "", resources{}
