manager: a listing shows nothing about a host that is contradicted by anything newer

Cause: a host that no listing has shown yet had the zero time as that of its row, which is before every listing, also one that began before the host was added; it counted as removed. Other uses had the same cause: the row of a slow listing replaced the pool and the state that a report or an answered move had shown since, and the missing row of a host that was away cleared nothing.

A host keeps the newest evidence that it exists, and is taken for removed only on newer proof: its absence from a complete listing, from two in a row if these have several pages, or the platform's answer that it does not know the host. Pool and state of a row count only if neither the host has changed nor its executor was heard since the listing began. A host that is removed while away frees its slot. host_removed (1229) names the proof. The model adds and removes hosts, and its listings are slow, paged, unreadable in part or lost.

Why it works: everything that can show a host's presence is compared with the start of the listing, not with its end, so that no order of their arrival matters.

--- a/internal/core/manager/disruption_test.go
+++ b/internal/core/manager/disruption_test.go
@@ -26,6 +26,8 @@
 	{"platform answers late", playLatePlatform},
 	{"more ends than a list holds", playManyEnds},
 	{"burst on an advised queue", playAdvisedBurst},
+	{"hosts added before a wave", playHostsBeforeWave},
+	{"slow listings", playSlowListings},
 }
 
 // playLateFirstReport restarts executors under their IDs. Their calls break or go silent,
@@ -55,6 +57,7 @@
 func playLatePlatform(s *simulation, rng *rand.Rand) []string {
 	s.hostAnswers = hostAnswers{rng: rng, lostShare: 0.4, longestDelay: 1900 * time.Millisecond, longestBoot: 1500 * time.Millisecond}
 	s.schedule(8*time.Second, func() { s.hostAnswers = hostAnswers{} })
+	s.lastHostFault = s.now.Add(8 * time.Second)
 	s.waves++
 	var hosts []string
 	for _, n := range rng.Perm(12)[:3] {
@@ -174,6 +177,7 @@
 			s.clearFaults()
 			s.requireEnds(ids)
 			s.checkLeftovers(ids)
+			s.requireWaves()
 			s.requireNoViolations()
 		})
 	}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -44,6 +44,7 @@
 	}
 	s.sequence, s.reportedAt, s.lastHeardAt = r.Sequence, now, now
 	s.readClock(r.Clock, now)
+	m.executorHeard(s, presenceReport, now)
 	if r.Draining && !s.draining {
 		s.draining = true
 		m.requestPasses()
@@ -374,6 +375,7 @@
 		return false
 	}
 	s.lastHeardAt, s.lastAnswerAt = now, now
+	m.executorHeard(s, presenceAnswer, now)
 	if o.StartedAt == s.rec.StartedAt {
 		// An answer without a start may come from the next incarnation under the ID,
 		// whose clock is another one.
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -52,32 +52,17 @@
 	// listed is the host's row in the newest listing that contains it.
 	listed   HostRow
 	listedAt time.Time
-}
-
-// hostInventory holds the hosts and the state of the platform listing.
-type hostInventory struct {
-	byName      map[string]*host
-	listPending bool
-	// listFailures is the number of listings in a row that failed.
-	listFailures int
-	// listedAt is the start of the newest complete listing.
-	listedAt time.Time
-	nextList time.Time
-	// rows are those of the pages received so far, and unreadable is the number of
-	// those that could not be read.
-	rows       []HostRow
-	unreadable int
-	// pages is the number of pages received so far.
-	pages int
-	// absenceShownAt is the start of the newest complete listing without unreadable
-	// rows. Only such a listing shows that a host no longer exists.
-	absenceShownAt time.Time
-	// listStartedAt is the start of the newest listing, complete or not.
-	listStartedAt time.Time
-	// unrecorded are the queued orders whose record is not proposed yet.
-	unrecorded []jobs.HostOrder
-	// settledAt is the time of the last check for orders that have settled.
-	settledAt time.Time
+	// heardAt is when an executor on the host last reported or answered.
+	heardAt time.Time
+	// presence is the newest evidence that the host exists.
+	presence presence
+	// absences counts the listings in a row that lack the host and began after the
+	// presence, the first of them at absentSince.
+	absences    int
+	absentSince time.Time
+	// removedAt is the time of the proof that the host has been removed from the platform
+	// since the presence, or zero.
+	removedAt time.Time
 }
 
 // queuedOrder is an order for a host with its context.
@@ -86,17 +71,6 @@
 	pending pendingCall
 }
 
-func newHostInventory() hostInventory { return hostInventory{byName: map[string]*host{}} }
-
-func (inv *hostInventory) get(name string) *host {
-	h := inv.byName[name]
-	if h == nil {
-		h = &host{name: name}
-		inv.byName[name] = h
-	}
-	return h
-}
-
 // hostReturned marks the host of a new executor incarnation as back. An
 // incarnation that is recorded after an order, but sooner than the move or
 // upkeep takes, is the one that the order ends.
@@ -105,7 +79,8 @@
 		return
 	}
 	h := m.hosts.get(rec.Host)
-	h.pool = rec.Pool
+	h.pool, h.heardAt = rec.Pool, now
+	h.exists(presenceReport, now)
 	if h.away && now.Sub(h.orderedAt) >= m.minAway(h) {
 		h.away, h.changedAt, h.target, h.wave = false, now, "", 0
 	}
@@ -120,19 +95,8 @@
 }
 
 const (
-	// minListInterval is the least time between two listings of the platform's
-	// hosts. A listing has a cost, and most changes are known from reports.
-	minListInterval = 2 * time.Second
-	// maxListPages bounds the pages of a listing, which would otherwise never end if
-	// the platform repeats a page token.
-	maxListPages = 1000
 	// hostCallTimeout bounds a call to the platform, which may be slow.
 	hostCallTimeout = 2 * time.Second
-	// lostListings is the number of failed listings in a row before the timeout of the
-	// next one doubles. The outages of the platform that are described last 5 s.
-	lostListings = 3
-	// maxListTimeoutDoublings bounds how often it doubles, to 16 s.
-	maxListTimeoutDoublings = 3
 	// settleInterval is the time between two checks for orders that have settled. The
 	// records are read only after a change of leader.
 	settleInterval = 500 * time.Millisecond
@@ -268,6 +232,20 @@
 	m.pool(s.rec.Pool).requestPass()
 }
 
+// executorHeard notes a report or an answer of the executor on a host. A host that is not
+// away belongs to the pool that its executor serves, whatever an older listing says.
+func (m *Manager) executorHeard(s *session, source presenceSource, now time.Time) {
+	if s.rec.Host == "" {
+		return
+	}
+	h := m.hosts.get(s.rec.Host)
+	h.heardAt = now
+	h.exists(source, now)
+	if !h.away {
+		h.pool = s.rec.Pool
+	}
+}
+
 // mayBeEvicted reports whether an order for the executor's host may end it at any moment.
 func (m *Manager) mayBeEvicted(s *session) bool {
 	h := m.hosts.byName[s.rec.Host]
@@ -280,73 +258,6 @@
 	return time.Duration(max(s.sequence-1, 0)) * reportInterval
 }
 
-// listHosts starts a listing of the platform's hosts unless one is pending or
-// too recent.
-func (m *Manager) listHosts(now time.Time) {
-	inv := &m.hosts
-	if inv.listPending || now.Before(inv.nextList) {
-		return
-	}
-	inv.listPending, inv.rows, inv.unreadable, inv.pages, inv.listStartedAt = true, nil, 0, 0, now
-	m.callListHosts("", now)
-}
-
-// callListHosts requests a page of the listing. A platform that has become slow gets
-// more time after some failures. The first ones may be answers that were lost, after
-// which a long timeout would only delay the next try.
-func (m *Manager) callListHosts(pageToken string, now time.Time) {
-	timeout := hostCallTimeout << min(max(m.hosts.listFailures-lostListings, 0), maxListTimeoutDoublings)
-	m.call(Call{Kind: CallListHosts, Timeout: timeout, PageToken: pageToken}, pendingCall{}, now)
-}
-
-// listHostsAnswered processes one page of the listing.
-func (m *Manager) listHostsAnswered(o Outcome, now time.Time) {
-	inv := &m.hosts
-	if o.Verdict != OK {
-		inv.listPending, inv.nextList = false, now.Add(hostOrderInterval)
-		inv.listFailures++
-		return
-	}
-	inv.rows, inv.unreadable = append(inv.rows, o.Hosts...), inv.unreadable+o.UnreadableHosts
-	if inv.pages++; o.NextPageToken != "" && inv.pages >= maxListPages {
-		inv.listPending, inv.rows, inv.nextList = false, nil, now.Add(minListInterval)
-		return
-	}
-	if o.NextPageToken != "" {
-		m.callListHosts(o.NextPageToken, now)
-		return
-	}
-	inv.listFailures = 0
-	inv.listPending, inv.listedAt, inv.nextList = false, inv.listStartedAt, now.Add(minListInterval)
-	if inv.unreadable == 0 {
-		inv.absenceShownAt = inv.listStartedAt
-	}
-	for _, row := range inv.rows {
-		m.hostListed(row, now)
-	}
-	inv.rows = nil
-}
-
-// hostListed updates a host from its row in a complete listing.
-func (m *Manager) hostListed(row HostRow, now time.Time) {
-	inv := &m.hosts
-	h := inv.get(row.Host)
-	h.listed, h.listedAt = row, inv.listStartedAt
-	if !h.away && !h.orderPending {
-		h.pool = row.Pool
-		if row.State == HostInUpkeep {
-			h.away, h.changedAt, h.orderedAt, h.wave = true, inv.listStartedAt, inv.listStartedAt, m.waveOf(row.Host)
-		}
-	}
-	hasReturned := row.State == HostUp || row.State == HostDown
-	if h.away && !h.orderPending && hasReturned && h.changedAt.Before(inv.listStartedAt.Add(-m.cfg.UpkeepTime)) {
-		h.away, h.changedAt, h.target, h.wave, h.pool = false, now, "", 0, row.Pool
-		if s := m.sessionOn(row.Host); s != nil && s.reservedFor == actionMove {
-			m.releaseReservation(s)
-		}
-	}
-}
-
 // sessionOn returns the session of the newest incarnation on a host, or nil.
 func (m *Manager) sessionOn(name string) *session { return m.sessions.newestOn(name) }
 
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -76,6 +76,9 @@
 	Host        string
 	Reason      string
 	Age         time.Duration
+	// LastHeard names the newest evidence of a removed host, and LastHeardAge is its age.
+	LastHeard    string
+	LastHeardAge time.Duration
 }
 
 // EventKind is the kind of a logged decision.
@@ -99,6 +102,9 @@
 	EventWaveStarted
 	EventUpkeepBegan
 	EventHostMoved
+	// EventHostRemoved names the proof in Reason; Age is the time since the listing began
+	// or the order was sent, and Run a wave that names the host, or 0.
+	EventHostRemoved
 	EventRunPaced
 	EventRunStalled
 	EventTaskSuspected
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -189,6 +189,7 @@
 func (m *Manager) moveAnswered(pending pendingCall, o Outcome, now time.Time) {
 	h := m.hosts.get(pending.host)
 	h.orderPending, h.nextOrder = false, now.Add(hostOrderInterval)
+	h.orderAnswered(o, now)
 	s := m.sessionOn(pending.host)
 	switch o.Verdict {
 	case OK:
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -59,6 +59,12 @@
 	order       sentOrder
 	advisor     advisor
 	hostAnswers hostAnswers
+	listings    listings
+	// lastHostFault is the end of the last fault of the platform or the last start of a
+	// leader.
+	lastHostFault time.Time
+	// checkedWaves are the waves that were complete at a check.
+	checkedWaves map[int64]bool
 	// waves is the number of waves that were started.
 	waves int64
 	// firstStep is the time from the creation of a leader to its first step.
@@ -100,8 +106,10 @@
 	name, pool, zone, rack string
 	state                  manager.HostState
 	wave                   int64
-	// doneWave is the wave for which the host last had its upkeep.
-	doneWave int64
+	// doneWaves are the waves for which the host has had its upkeep.
+	doneWaves map[int64]bool
+	// removed is set once the platform has no such host any more.
+	removed  bool
 	executor *executor
 	// orderTerm and orderedAt are the term and the time of sending of the newest order
 	// that has arrived.
@@ -198,6 +206,7 @@
 		jobs: map[string]*jobHistory{}, recordedEnds: map[runKey]bool{},
 		faults: rand.New(rand.NewPCG(seed, 2)), crashReturns: []crashReturn{returnWithNewID, returnWithSameID},
 		crashes: map[jobs.TaskRef]*crashCount{}, gangs: map[gangKey]*gangRun{}, unguarded: map[string]bool{},
+		checkedWaves: map[int64]bool{},
 	}
 	s.state.Apply(jobs.Command{Configure: s.jobsConfig(1)})
 	s.startLeader()
@@ -261,6 +270,9 @@
 func (s *simulation) startLeader() {
 	s.manager = manager.New(s.managerConfig(), s.state, s.term, s.now)
 	s.leading = true
+	if s.now.After(s.lastHostFault) {
+		s.lastHostFault = s.now
+	}
 	if s.firstStep == 0 {
 		s.scheduleStep()
 		return
@@ -282,6 +294,7 @@
 	for _, c := range s.uncommitted[:committed] {
 		s.state.Apply(c)
 	}
+	s.checkWaves()
 	s.uncommitted = nil
 	s.schedule(gap, s.startLeader)
 }
@@ -320,6 +333,9 @@
 func (s *simulation) commit(c jobs.Command) {
 	err := s.state.Apply(c)
 	s.manager.HandleApplied(c, err, s.now)
+	if c.RecordUpkeep != nil {
+		s.checkWaves()
+	}
 }
 
 func (s *simulation) deliverReply(r manager.Reply) {
@@ -364,7 +380,11 @@
 		}
 		s.schedule(delay, func() {
 			o := s.handleHostCall(c, sentAt)
-			if delay, isLost := s.hostAnswers.draw(c); !isLost {
+			delay, isLost := s.hostAnswers.draw(c)
+			if c.Kind == manager.CallListHosts {
+				delay, isLost = s.listings.drawAnswer()
+			}
+			if !isLost {
 				s.schedule(delay, func() { finish(o) })
 			}
 		})
@@ -489,7 +509,7 @@
 // executor.
 func (s *simulation) addHost(pool string) *host {
 	n := len(s.hosts)
-	h := &host{name: fmt.Sprintf("host-%03d", n), pool: pool, zone: "z", rack: fmt.Sprintf("r%d", n/4), state: manager.HostUp}
+	h := &host{name: fmt.Sprintf("host-%03d", n), pool: pool, zone: "z", rack: fmt.Sprintf("r%d", n/4), state: manager.HostUp, doneWaves: map[int64]bool{}}
 	s.hosts[h.name] = h
 	if pool != "off" {
 		s.boot(h)
@@ -875,20 +895,14 @@
 // handleHostCall simulates the platform's interface for hosts.
 func (s *simulation) handleHostCall(c manager.Call, sentAt time.Time) manager.Outcome {
 	if c.Kind == manager.CallListHosts {
-		o := manager.Outcome{Verdict: manager.OK}
-		for n := range len(s.hosts) {
-			h := s.hosts[fmt.Sprintf("host-%03d", n)]
-			row := manager.HostRow{Host: h.name, Pool: h.pool, State: h.state, Zone: h.zone, Rack: h.rack, Capacity: jobs.Resources{CPU: 32000, MemoryMB: 64 << 10}}
-			o.Hosts = append(o.Hosts, row)
-		}
-		return o
+		return s.listHosts(c.PageToken)
 	}
 	h := s.hosts[c.Host]
-	if h == nil {
+	if h == nil || h.removed {
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedUnknownHost}
 	}
 	s.checkOrderOfLeaders(h, c, sentAt)
-	if c.Kind == manager.CallUpkeepHost && h.doneWave == c.Wave || c.Kind == manager.CallMoveHost && h.pool == c.Pool {
+	if c.Kind == manager.CallUpkeepHost && h.doneWaves[c.Wave] || c.Kind == manager.CallMoveHost && h.pool == c.Pool {
 		// The operation is already done.
 		return manager.Outcome{Verdict: manager.OK}
 	}
@@ -901,14 +915,14 @@
 		awayTime, state = upkeepTime, manager.HostInUpkeep
 		inUpkeep := 0
 		for _, o := range s.hosts {
-			if o.state == manager.HostInUpkeep && o.wave == c.Wave {
+			if !o.removed && o.state == manager.HostInUpkeep && o.wave == c.Wave {
 				inUpkeep++
 			}
 		}
 		if limit := s.state.Wave(c.Wave).MaxParallel; inUpkeep >= limit {
 			s.violate("wave limit: upkeep of %s begins while %d hosts are down", h.name, inUpkeep)
 		}
-		h.wave, h.doneWave = c.Wave, c.Wave
+		h.wave, h.doneWaves[c.Wave] = c.Wave, true
 	} else {
 		h.pool = c.Pool
 	}
@@ -920,7 +934,7 @@
 	h.state = state
 	s.schedule(awayTime, func() {
 		h.state = manager.HostUp
-		if h.pool != "off" {
+		if !h.removed && h.pool != "off" {
 			s.boot(h)
 		}
 	})
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -49,13 +49,21 @@
 	w := &wave{rec: rec, requestedAt: requestTime(rec.RequestedAt, now), ordered: map[string]upkeepOrder{}}
 	m.waves[rec.ID] = w
 	m.refreshWave(w)
+	for _, name := range w.pending {
+		m.hosts.get(name).exists(presenceWave, now)
+	}
 }
 
-// waveOf returns the ID of the incomplete wave that contains a host, or 0.
-func (m *Manager) waveOf(name string) int64 {
-	for id, w := range m.waves {
-		if slices.Contains(w.rec.Hosts, name) && !w.rec.IsComplete() {
-			return id
+// waveOf returns the ID of the wave to which an upkeep of the host belongs that this leader
+// did not order, or 0: that of an earlier leader's order, else of the first incomplete wave
+// that contains the host.
+func (m *Manager) waveOf(h *host) int64 {
+	if h.inherited != nil && h.inherited.Wave != 0 {
+		return h.inherited.Wave
+	}
+	for _, rec := range m.state.Waves() {
+		if slices.Contains(rec.Hosts, h.name) && !rec.IsComplete() {
+			return rec.ID
 		}
 	}
 	return 0
@@ -85,6 +93,9 @@
 	}
 	delete(w.ordered, u.Host)
 	m.refreshWave(w)
+	if u.Removed {
+		return
+	}
 	m.logEvent(Event{Kind: EventUpkeepBegan, Run: int(u.Wave), Host: u.Host, Age: now.Sub(w.requestedAt)})
 }
 
@@ -230,7 +241,14 @@
 // unless it is reserved.
 func (m *Manager) tryUpkeep(w *wave, name string, hasSlot, urgent bool, now time.Time) bool {
 	h := m.hosts.get(name)
-	if h.orderPending || now.Before(h.nextOrder) || !m.mayOrderHost(name, now) {
+	if now.Before(h.nextOrder) {
+		return false
+	}
+	if h.isRemoved() {
+		m.waiveUpkeep(w, h, now)
+		return false
+	}
+	if h.orderPending || !m.mayOrderHost(name, now) {
 		return false
 	}
 	if h.away && (!w.isOrdered(name) || h.wave != w.rec.ID) {
@@ -252,26 +270,24 @@
 	return true
 }
 
-// tryUpkeepWithoutExecutor orders the upkeep of a host without a known
-// executor.
+// tryUpkeepWithoutExecutor orders the upkeep of a host without a known executor, unless
+// the newest listing shows that it is not up. A host that this listing lacks may have been
+// added after it began, or its row was lost. The platform refuses the upkeep of a host that
+// does not exist.
 func (m *Manager) tryUpkeepWithoutExecutor(w *wave, h *host, now time.Time) bool {
-	switch {
-	case h.listedAt.IsZero() && m.hosts.listedAt.IsZero():
-		return false
-	case h.listedAt.Before(m.hosts.absenceShownAt):
-		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: w.rec.ID, Host: h.name, Removed: true}})
-		h.nextOrder = now.Add(hostOrderInterval)
-		return false
-	case h.listedAt.Before(m.hosts.listedAt):
-		// The host may be in a row that could not be read. The platform refuses the
-		// upkeep of a host that does not exist.
-	case h.listed.State != HostUp:
+	if !h.listedAt.Before(m.hosts.listedAt) && h.listed.State != HostUp {
 		return false
 	}
 	m.orderUpkeep(w, h, now)
 	return true
 }
 
+// waiveUpkeep proposes to record that a host of the wave is removed.
+func (m *Manager) waiveUpkeep(w *wave, h *host, now time.Time) {
+	m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: w.rec.ID, Host: h.name, Removed: true}})
+	h.nextOrder = now.Add(hostOrderInterval)
+}
+
 func (w *wave) isOrdered(name string) bool {
 	_, ok := w.ordered[name]
 	return ok
@@ -305,6 +321,7 @@
 func (m *Manager) upkeepAnswered(pending pendingCall, o Outcome, now time.Time) {
 	h := m.hosts.get(pending.host)
 	h.orderPending, h.nextOrder = false, now.Add(hostOrderInterval)
+	h.orderAnswered(o, now)
 	w := m.waves[pending.wave]
 	if w == nil {
 		return
@@ -314,9 +331,10 @@
 	case o.Verdict == OK:
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host}})
 		m.hostOrderDone(h, "host is in upkeep", now)
-	case o.Verdict == Refused && o.Refusal == RefusedUnknownHost:
-		h.away, h.wave = false, 0
-		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host, Removed: true}})
+	case o.Verdict == Refused && o.Refusal == RefusedUnknownHost && !h.presence.at.After(pending.sentAt):
+		delete(w.ordered, pending.host)
+		m.hostRemoved(h, removalUnknown, pending.sentAt, now)
+		m.waiveUpkeep(w, h, now)
 	case o.Verdict == Refused && o.Refusal == RefusedHostBusy && order.mayBeDone:
 		// An earlier order may have been carried out and be the reason.
 		h.nextOrder = now.Add(m.cfg.UpkeepTime + upkeepOverhead)
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -23,6 +23,7 @@
 	manager.EventWaveStarted:        logevent.UpkeepWaveStarted,
 	manager.EventUpkeepBegan:        logevent.UpkeepBegan,
 	manager.EventHostMoved:          logevent.HostMoved,
+	manager.EventHostRemoved:        logevent.HostRemoved,
 	manager.EventRunPaced:           logevent.RunPaced,
 	manager.EventRunStalled:         logevent.RunStalled,
 	manager.EventTaskSuspected:      logevent.TaskSuspected,
@@ -38,7 +39,7 @@
 	if e.Task.Job != "" {
 		fields["task"] = e.Task.String()
 	}
-	for name, value := range map[string]string{"executor": e.Executor, "pool": e.Pool, "host": e.Host, "reason": e.Reason} {
+	for name, value := range map[string]string{"executor": e.Executor, "pool": e.Pool, "host": e.Host, "reason": e.Reason, "last_heard": e.LastHeard} {
 		if value != "" {
 			fields[name] = value
 		}
@@ -52,5 +53,8 @@
 	if e.Age != 0 {
 		fields["age_ms"] = e.Age.Milliseconds()
 	}
+	if e.LastHeard != "" {
+		fields["last_heard_age_ms"] = e.LastHeardAge.Milliseconds()
+	}
 	l.cfg.Log.Log(logEvents[e.Kind], fields)
 }
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -71,6 +71,7 @@
 	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to correct"}
 	ProxyLost          = Event{1227, "helper_lost", logrus.WarnLevel, "proxy replica that makes calls for the leader has failed", "none; other replicas make the calls, and the outcome of its orders is looked up"}
 	HostRefused        = Event{1228, "host_refused", logrus.WarnLevel, "row of the platform's listing of hosts is left out", "the others are used; check its writer. number counts the refused ones, of which one in 10 s is logged"}
+	HostRemoved        = Event{1229, "host_removed", logrus.InfoLevel, "host is taken for removed from the platform", "none. reason is the proof and age_ms the time since its listing began or its order was sent, last_heard the newest evidence of the host and last_heard_age_ms its age, number a wave that goes on without the host"}
 	LeaderFenced       = Event{1230, "leader_fenced", logrus.WarnLevel, "an executor has seen a newer leader", "none; this replica learns that it was replaced"}
 	OrderPanicked      = Event{1231, "order_panicked", logrus.ErrorLevel, "order ended in a programming error and counts as unanswered", "report the stack; the process goes on"}
 )
@@ -96,7 +97,7 @@
 		JobAccepted, JobRefused, JobCancelled, JobFinished, RunOrdered, RunEnded, RunPaced, RunStalled, TaskSuspected, RunConcluded,
 		ExecutorJoined, ExecutorLeft, ExecutorSilent, ExecutorAnswers, ExecutorDistrusted, AdvisorSilent,
 		JobsConfigured, UpkeepWaveStarted, UpkeepBegan, HostMoved,
-		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, HostRefused, LeaderFenced, OrderPanicked,
+		OrderFailed, ReportRefused, ConfigRefused, ProxyLost, HostRefused, HostRemoved, LeaderFenced, OrderPanicked,
 		EndpointJoined, EndpointLeft, EndpointRefused, ControlLost, ControlConnected, RequestMalformed, RequestUnanswered,
 	}
 }
