jobs, manager: a removed queue keeps its definition while accepted jobs need it

Cause: the definition of a queue is looked up in the configuration in force. Without the queue the limit of attempts was 20,000, and the other properties fell to defaults as well: an advised job got no tickets any more, so that executors refused its tasks; priority, slack and target changed; jobs of a renamed queue were missing from Pending.

Change: the leader records a configuration together with the last definitions of the queues that it lacks and that accepted jobs need, as retired queues whose prefix matches no path. They are dropped by a later configuration. No stored field is added: the decoder of earlier versions refuses unknown fields, and an entry that cannot be decoded stops a replica. A job whose queue is unknown in records of an earlier version has a limit of 4, by the configuration alone. Where a limit becomes known or lower than the failures of a task, an end of no run makes the records end the job. job_finished (1203) has failures, max_attempts and limit_source.

Why it works: the definition is part of the replicated configuration, under the name that the jobs have, so that every look-up finds it, at replicas of the earlier version too.

--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -73,7 +73,9 @@
 
 // EndRun records the end of a run.
 type EndRun struct {
-	Task     TaskRef   `cbor:"1,keyasint"`
+	Task TaskRef `cbor:"1,keyasint"`
+	// Run is the number of the run. An end with ResultFailed and 0 is that of no run: it
+	// ends the job if the task has failed as often as its queue allows by now.
 	Run      int       `cbor:"2,keyasint"`
 	Executor int       `cbor:"3,keyasint"`
 	Result   RunResult `cbor:"4,keyasint"`
--- a/internal/core/jobs/config.go
+++ b/internal/core/jobs/config.go
@@ -1,17 +1,20 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"laburnumdock/internal/core/fault"
 )
 
 // Queue is an entry point for job submissions, together with the pool that runs
-// its jobs.
+// its jobs. A removed queue stays in the configuration as a retired one, which takes no
+// submissions, while accepted jobs need its definition.
 type Queue struct {
 	Name string `cbor:"1,keyasint"`
 	// Host and Prefix are matched against the host and path of a request to
-	// select the queue.
+	// select the queue. The prefix of a retired queue begins with retiredMark.
 	Host   string `cbor:"2,keyasint,omitempty"`
 	Prefix string `cbor:"3,keyasint,omitempty"`
 	// Pool is the name of the pool whose hosts run the queue's tasks.
@@ -31,6 +34,42 @@
 	Advisor *AdvisorTiming `cbor:"10,keyasint,omitempty"`
 }
 
+// retiredMark begins the prefix of a retired queue. No path and no prefix of a valid
+// configuration begins with it, so it takes no submissions under an earlier version
+// either. The decoder of that version refuses unknown fields.
+const retiredMark = "retired:"
+
+// DefaultMaxAttempts is the limit of a job whose queue is unknown, because an earlier
+// version has removed it without keeping its definition. It is the largest limit in the
+// platform's documentation, so that no job is given up too early.
+const DefaultMaxAttempts = 4
+
+// IsRetired reports whether the queue has been removed and only serves the jobs that it
+// has accepted.
+func (q *Queue) IsRetired() bool { return strings.HasPrefix(q.Prefix, retiredMark) }
+
+// retired returns the definition as that of a removed queue.
+func (q Queue) retired() Queue {
+	if !q.IsRetired() {
+		q.Prefix = retiredMark + q.Prefix
+	}
+	return q
+}
+
+// HasRouteOf reports whether the queue takes, or took before it was removed, the requests
+// that the other one takes.
+func (q *Queue) HasRouteOf(other *Queue) bool {
+	return strings.EqualFold(q.Host, other.Host) && strings.TrimPrefix(q.Prefix, retiredMark) == strings.TrimPrefix(other.Prefix, retiredMark)
+}
+
+// attemptLimit returns the number of failed runs after which a task ends its job.
+func (q *Queue) attemptLimit() int {
+	if q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return MaxTasks
+}
+
 // AdvisorTiming is the time in milliseconds that an advisor takes for one call
 // and for each executor named in the call.
 type AdvisorTiming struct {
@@ -91,6 +130,25 @@
 	return nil
 }
 
+// Retaining returns the configuration with the queues added that it lacks and that
+// accepted jobs need, given by name with their pools. Their definition is that of the
+// earlier configuration, which may be nil.
+func (c *Config) Retaining(earlier *Config, needed map[string]string) *Config {
+	next := *c
+	next.Queues = slices.Clone(c.Queues)
+	for _, name := range slices.Sorted(maps.Keys(needed)) {
+		if next.Queue(name) != nil {
+			continue
+		}
+		definition := Queue{Name: name, Pool: needed[name], MaxAttempts: DefaultMaxAttempts}
+		if earlier != nil && earlier.Queue(name) != nil {
+			definition = *earlier.Queue(name)
+		}
+		next.Queues = append(next.Queues, definition.retired())
+	}
+	return &next
+}
+
 // Match returns the queue whose prefix is the longest match for path, and the
 // rest of the path after that prefix.
 func (c *Config) Match(host, path string) (*Queue, string) {
--- a/internal/core/jobs/state.go
+++ b/internal/core/jobs/state.go
@@ -68,8 +68,30 @@
 	// SubmittedAt is the submission time in Unix milliseconds of the leader's
 	// clock.
 	SubmittedAt int64 `cbor:"10,keyasint,omitempty"`
+	// Exhausted is set on the replica that has applied the end of the job if a task has
+	// used up its attempts. It is only logged, and not part of a dump.
+	Exhausted *Exhaustion `cbor:"-"`
 }
 
+// Exhaustion tells how a task, or its gang, has used up its attempts.
+type Exhaustion struct {
+	Task            TaskRef
+	Failures, Limit int
+	Source          LimitSource
+}
+
+// LimitSource tells where a limit of attempts is from.
+type LimitSource string
+
+// The sources of a limit.
+const (
+	LimitConfigured LimitSource = "configuration"
+	// LimitRetired means that it is from the last definition of a removed queue.
+	LimitRetired LimitSource = "removed_queue"
+	// LimitDefault means that the definition of the queue is not known.
+	LimitDefault LimitSource = "default"
+)
+
 // Executor is one incarnation of the process that runs tasks on a host. Number
 // is assigned when the incarnation is first recorded and never reused.
 type Executor struct {
@@ -412,8 +434,12 @@
 			j.markDone(e.Task, step)
 		}
 	case ResultFailed:
-		task.Failures++
-		if !step.LongRunning && j.failureCount(e.Task, step) >= s.maxAttempts(j.Queue) && !task.Done {
+		if e.Run > 0 {
+			task.Failures++
+		}
+		limit, source := s.AttemptLimit(j.Queue)
+		if count := j.failureCount(e.Task, step); !step.LongRunning && count >= limit && !task.Done {
+			j.Exhausted = &Exhaustion{Task: e.Task, Failures: count, Limit: limit, Source: source}
 			j.finish(PhaseFailed)
 		}
 	default:
@@ -434,15 +460,49 @@
 	return count
 }
 
-// maxAttempts returns the limit of a queue. A queue that is no longer
-// configured has no limit of its own.
-func (s *State) maxAttempts(queue string) int {
+// AttemptLimit returns the number of failed runs of a task that ends a job of the queue,
+// and where the limit is from. It depends on nothing but the configuration, so that it is
+// the same on replicas that have replayed the log and on those that have loaded a dump.
+func (s *State) AttemptLimit(queue string) (int, LimitSource) {
+	var q *Queue
 	if s.config != nil {
-		if q := s.config.Queue(queue); q != nil && q.MaxAttempts > 0 {
-			return q.MaxAttempts
+		q = s.config.Queue(queue)
+	}
+	switch {
+	case q == nil:
+		return DefaultMaxAttempts, LimitDefault
+	case q.IsRetired():
+		return q.attemptLimit(), LimitRetired
+	default:
+		return q.attemptLimit(), LimitConfigured
+	}
+}
+
+// ExhaustedTask returns a task of the job that has failed as often as its queue allows, if
+// there is one.
+func (s *State) ExhaustedTask(j *Job) (TaskRef, bool) {
+	limit, _ := s.AttemptLimit(j.Queue)
+	for occ, steps := range j.Steps {
+		for i := range steps {
+			step := &j.Spec.Steps[i]
+			if step.LongRunning || steps[i].TasksLeft == 0 {
+				continue
+			}
+			for t := range steps[i].Tasks {
+				if steps[i].Tasks[t].Done {
+					continue
+				}
+				ref := TaskRef{Job: j.ID, Occurrence: occ, Step: i, Index: t}
+				if j.failureCount(ref, step) >= limit {
+					return ref, true
+				}
+				if step.Gang {
+					break
+				}
+			}
 		}
 	}
-	return MaxTasks
+	return TaskRef{}, false
 }
 
 func (j *Job) setCheckpoint(ref TaskRef, step *Step, checkpoint string) {
--- a/internal/core/manager/disruption_test.go
+++ b/internal/core/manager/disruption_test.go
@@ -28,6 +28,7 @@
 	{"burst on an advised queue", playAdvisedBurst},
 	{"hosts added before a wave", playHostsBeforeWave},
 	{"slow listings", playSlowListings},
+	{"queues removed and restored", playQueueChanges},
 }
 
 // playLateFirstReport restarts executors under their IDs. Their calls break or go silent,
@@ -147,9 +148,14 @@
 	for range 30 {
 		s.advance(10 * time.Second)
 		for _, id := range ids {
-			if !ended[id] && s.phase(id).IsFinal() {
-				ended[id] = true
+			if ended[id] || !s.phase(id).IsFinal() {
+				continue
+			}
+			ended[id] = true
+			if s.jobs[id].spec.Payload != "poison" {
 				s.checkFailedJobs([]string{id}, false)
+			} else if s.phase(id) != jobs.PhaseFailed {
+				s.violate("hopeless job %s ends in phase %d", id, s.phase(id))
 			}
 		}
 	}
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -76,6 +76,10 @@
 	Host        string
 	Reason      string
 	Age         time.Duration
+	// Failures is the number of failed runs that ended a job and Limit the limit that they
+	// have reached, from LimitSource.
+	Failures, Limit int
+	LimitSource     string
 	// LastHeard names the newest evidence of a removed host, and LastHeardAge is its age.
 	LastHeard    string
 	LastHeardAge time.Duration
@@ -139,7 +143,11 @@
 	pendingCalls map[uint64]pendingCall
 	lastCall     uint64
 
-	submitRequests    map[string][]uint64
+	submitRequests map[string][]uint64
+	// submitting holds the queues of the submissions that are not recorded yet, by job ID.
+	submitting map[string]*jobs.Queue
+	// proposedConfig is the newest configuration that this leader has proposed, or nil.
+	proposedConfig    *jobs.Config
 	cancelRequests    map[string][]uint64
 	configureRequests map[uint64][]uint64
 	waveRequests      map[int64][]uint64
@@ -189,7 +197,7 @@
 	m := &Manager{
 		cfg: cfg, state: state, term: term, startedAt: now,
 		sessions: newSessionIndex(), pools: map[string]*pool{}, jobs: map[string]*job{}, runs: map[runKey]*run{},
-		pendingCalls: map[uint64]pendingCall{}, submitRequests: map[string][]uint64{}, cancelRequests: map[string][]uint64{},
+		pendingCalls: map[uint64]pendingCall{}, submitRequests: map[string][]uint64{}, submitting: map[string]*jobs.Queue{}, cancelRequests: map[string][]uint64{},
 		configureRequests: map[uint64][]uint64{}, waveRequests: map[int64][]uint64{}, registering: map[string]int64{},
 		hosts: newHostInventory(), waves: map[int64]*wave{}, forecasts: map[string]*forecast.Durations{},
 	}
@@ -204,6 +212,7 @@
 			m.endSession(s, reasonRestarted, now)
 		}
 	}
+	m.endExhaustedJobs()
 	for _, w := range state.Waves() {
 		m.addWave(w, now)
 	}
--- a/internal/core/manager/request.go
+++ b/internal/core/manager/request.go
@@ -1,6 +1,8 @@
 package manager
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"laburnumdock/internal/core/jobs"
@@ -38,7 +40,7 @@
 	case RequestCancel:
 		m.handleCancel(req, id)
 	case RequestPending:
-		m.reply(Reply{ID: req.ID, Kind: ReplyAccepted, Pending: m.countQueued(queue.Name)})
+		m.reply(Reply{ID: req.ID, Kind: ReplyAccepted, Pending: m.countQueued(queue)})
 	default:
 		m.reply(Reply{ID: req.ID, Kind: ReplyMalformed})
 	}
@@ -70,6 +72,7 @@
 	}
 	m.submitRequests[id] = append(m.submitRequests[id], req.ID)
 	if len(m.submitRequests[id]) == 1 {
+		m.submitting[id] = queue
 		m.propose(jobs.Command{AcceptJob: &jobs.AcceptJob{ID: id, Queue: queue.Name, Pool: queue.Pool, Spec: *req.Spec, SubmittedAt: now.UnixMilli()}})
 	}
 }
@@ -98,6 +101,7 @@
 	}
 	m.replyAll(m.submitRequests[a.ID], Reply{Kind: ReplyAccepted, Phase: rec.Phase})
 	delete(m.submitRequests, a.ID)
+	delete(m.submitting, a.ID)
 }
 
 func (m *Manager) answerState(req Request, id string) {
@@ -140,11 +144,13 @@
 	}
 }
 
-// countQueued returns the number of jobs of a queue without a started task.
-func (m *Manager) countQueued(queue string) int {
+// countQueued returns the number of jobs of a queue without a started task. Jobs that were
+// accepted while the queue had another name count as well.
+func (m *Manager) countQueued(queue *jobs.Queue) int {
 	count := 0
 	for _, j := range m.jobs {
-		if j.rec.Queue == queue && j.rec.Phase == jobs.PhaseQueued {
+		isOfQueue := j.rec.Queue == queue.Name || j.queue != nil && j.queue.IsRetired() && j.queue.HasRouteOf(queue)
+		if isOfQueue && j.rec.Phase == jobs.PhaseQueued {
 			count++
 		}
 	}
@@ -163,7 +169,47 @@
 	}
 	version := req.Config.Version
 	m.configureRequests[version] = append(m.configureRequests[version], req.ID)
-	m.propose(jobs.Command{Configure: req.Config})
+	next := req.Config.Retaining(m.newestConfig(), m.neededQueues())
+	if m.proposedConfig == nil || version > m.proposedConfig.Version {
+		m.proposedConfig = next
+	}
+	m.propose(jobs.Command{Configure: next})
+}
+
+// newestConfig returns the configuration that will be in force once all proposals of this
+// leader are applied, or nil.
+func (m *Manager) newestConfig() *jobs.Config {
+	c := m.state.Config()
+	if p := m.proposedConfig; p != nil && (c == nil || p.Version > c.Version) {
+		return p
+	}
+	return c
+}
+
+// neededQueues returns the queues, with their pools, that have jobs or may still get some
+// before the next configuration is applied: until then a submission is accepted by the one
+// that is in force.
+func (m *Manager) neededQueues() map[string]string {
+	needed := map[string]string{}
+	for _, c := range []*jobs.Config{m.state.Config(), m.newestConfig()} {
+		if c == nil {
+			continue
+		}
+		for _, q := range c.Queues {
+			if !q.IsRetired() {
+				needed[q.Name] = q.Pool
+			}
+		}
+	}
+	for _, q := range m.submitting {
+		needed[q.Name] = q.Pool
+	}
+	for _, j := range m.jobs {
+		if !j.rec.Phase.IsFinal() {
+			needed[j.rec.Queue] = j.rec.Pool
+		}
+	}
+	return needed
 }
 
 func (m *Manager) configured(c *jobs.Config) {
@@ -173,9 +219,27 @@
 	for _, j := range m.jobs {
 		m.assignPool(j)
 	}
+	m.endExhaustedJobs()
 	m.requestPasses()
 }
 
+// endExhaustedJobs ends the jobs of which a task has failed as often as its queue allows
+// by now, because the limit has become known or lower since the task last failed. The end
+// of a run that was never started makes the records apply the limit, also those of an
+// earlier version.
+func (m *Manager) endExhaustedJobs() {
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		j := m.jobs[id]
+		if j.rec.Phase.IsFinal() {
+			continue
+		}
+		ref, isExhausted := m.state.ExhaustedTask(j.rec)
+		if j.isExhausted = isExhausted; isExhausted {
+			m.propose(jobs.Command{EndRun: &jobs.EndRun{Task: ref, Result: jobs.ResultFailed}})
+		}
+	}
+}
+
 func (m *Manager) handleStartWave(req Request, now time.Time) {
 	if req.Wave == nil || req.Wave.MaxParallel < 0 || req.Wave.TimeLimit < 0 {
 		m.reply(Reply{ID: req.ID, Kind: ReplyMalformed})
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -299,7 +299,11 @@
 	if !j.finished {
 		j.finished = true
 		m.ended = append(m.ended, endedJob{id: j.rec.ID, at: now})
-		m.logEvent(Event{Kind: EventJobFinished, Job: j.rec.ID, Pool: j.pool.name, Reason: phaseName(j.rec.Phase), Age: now.Sub(j.submittedAt)})
+		e := Event{Kind: EventJobFinished, Job: j.rec.ID, Pool: j.pool.name, Reason: phaseName(j.rec.Phase), Age: now.Sub(j.submittedAt)}
+		if x := j.rec.Exhausted; x != nil {
+			e.Task, e.Failures, e.Limit, e.LimitSource = x.Task, x.Failures, x.Limit, string(x.Source)
+		}
+		m.logEvent(e)
 		j.pool.removeJob(j)
 	}
 	for _, r := range j.runs {
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -39,8 +39,11 @@
 type job struct {
 	rec  *jobs.Job
 	pool *pool
-	// queue is the job's queue in the configuration in force, or nil.
+	// queue is the job's queue in the configuration in force, which may be retired, or nil.
 	queue *jobs.Queue
+	// isExhausted is set when a task has used up its attempts and the end of the job is
+	// proposed. None of its tasks is started.
+	isExhausted bool
 	// longRunning is set when a step runs until the job is cancelled.
 	longRunning bool
 	// submittedAt is the submission time on this leader's clock.
@@ -226,6 +229,9 @@
 func (j *job) hasAdvisor() bool { return j.queue != nil && j.queue.Advisor != nil }
 
 func (p *pass) placeJob(j *job) {
+	if j.isExhausted {
+		return
+	}
 	for occ := range j.rec.Steps {
 		if due, timed := j.rec.Spec.DueAt(occ); timed && p.now.UnixMilli() < due.UnixMilli() {
 			continue
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -67,6 +67,8 @@
 	checkedWaves map[int64]bool
 	// waves is the number of waves that were started.
 	waves int64
+	// lastConfig is the version of the newest configuration that was sent.
+	lastConfig uint64
 	// firstStep is the time from the creation of a leader to its first step.
 	firstStep time.Duration
 	// listsAtMost is the largest number of ends in one list, or 0 if there is no limit.
@@ -98,6 +100,8 @@
 	completed        map[jobs.TaskRef]bool
 	recordedDone     map[jobs.TaskRef]time.Time
 	recordedFailures map[jobs.TaskRef]int
+	// maxAttempts is the limit of attempts of the job's tasks.
+	maxAttempts int
 	// deadly is the task of the job that crashes its executors, or nil.
 	deadly *deadlyTask
 }
@@ -470,6 +474,8 @@
 	// isSilent is set while calls get lost, and calls counts all of them.
 	isSilent bool
 	calls    int
+	// timing holds the times that were configured last.
+	timing jobs.AdvisorTiming
 }
 
 // maxWaitingAdvice is the number of waiting calls from which on the advisor refuses.
@@ -487,7 +493,11 @@
 	if a.busyUntil.Before(s.now) {
 		a.busyUntil = s.now
 	}
-	timing := s.state.Config().Queue("advised").Advisor
+	// A removed or renamed queue does not change the times of the advisor itself.
+	if q := s.state.Config().Queue("advised"); q != nil && q.Advisor != nil {
+		a.timing = *q.Advisor
+	}
+	timing := a.timing
 	handling := time.Duration(timing.PerCall+timing.PerExecutor*int64(len(c.Candidates))) * time.Millisecond
 	a.busyUntil = a.busyUntil.Add(handling * time.Duration(max(a.slowness, 1)))
 	a.waiting++
@@ -862,7 +872,7 @@
 	if _, done := history.recordedDone[c.Task]; done {
 		s.violate("duplicate run: %s starts after it is done", c.Task)
 	}
-	if !step.LongRunning && history.recordedFailures[c.Task] >= 3 {
+	if !step.LongRunning && history.recordedFailures[c.Task] >= history.maxAttempts {
 		s.violate("too many attempts: %s starts after %d failures", c.Task, history.recordedFailures[c.Task])
 	}
 	if !history.cancelled.IsZero() && s.now.Sub(history.cancelled) > 3*time.Second && s.lateOrderShare == 0 {
@@ -972,7 +982,7 @@
 // submit submits a job, repeating the request until it is accepted.
 func (s *simulation) submit(path string, spec *jobs.Spec) string {
 	id := fmt.Sprintf("%016x", s.rng.Uint64())
-	history := &jobHistory{spec: spec, completed: map[jobs.TaskRef]bool{}, recordedDone: map[jobs.TaskRef]time.Time{}, recordedFailures: map[jobs.TaskRef]int{}}
+	history := &jobHistory{spec: spec, completed: map[jobs.TaskRef]bool{}, recordedDone: map[jobs.TaskRef]time.Time{}, recordedFailures: map[jobs.TaskRef]int{}, maxAttempts: 3}
 	s.jobs[id] = history
 	var attempt func()
 	attempt = func() {
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -53,6 +53,9 @@
 	if e.Age != 0 {
 		fields["age_ms"] = e.Age.Milliseconds()
 	}
+	if e.Limit != 0 {
+		fields["failures"], fields["max_attempts"], fields["limit_source"] = e.Failures, e.Limit, e.LimitSource
+	}
 	if e.LastHeard != "" {
 		fields["last_heard_age_ms"] = e.LastHeardAge.Milliseconds()
 	}
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -49,7 +49,7 @@
 	JobAccepted        = Event{1200, "job_accepted", logrus.InfoLevel, "job is recorded", "none"}
 	JobRefused         = Event{1201, "job_refused", logrus.InfoLevel, "request refused", "the reason tells the caller what to correct"}
 	JobCancelled       = Event{1202, "job_cancelled", logrus.InfoLevel, "job is cancelled", "none"}
-	JobFinished        = Event{1203, "job_finished", logrus.InfoLevel, "job has ended", "reason is its final state, age_ms the time since it was submitted"}
+	JobFinished        = Event{1203, "job_finished", logrus.InfoLevel, "job has ended", "reason is its final state, age_ms the time since it was submitted; if a task has used up its attempts, task names it, failures counts its failed runs, max_attempts is the limit and limit_source its source: configuration, removed_queue or default"}
 	RunOrdered         = Event{1204, "run_ordered", logrus.InfoLevel, "start of a task is ordered", "age_ms is the age of the leader's information on the executor"}
 	RunEnded           = Event{1205, "run_ended", logrus.InfoLevel, "run of a task has ended", "reason is the result, age_ms the time in its last state"}
 	RunConcluded       = Event{1209, "run_concluded", logrus.InfoLevel, "run of a task is concluded although no executor listed its end", "reason is the proof, incarnation the one that was ordered, age_ms the time in its last state; see \"A task that started twice\" in OPERATIONS.md"}
