manager: order nothing for a host while its newest executor has not answered and another may run

Cause: the newest recorded incarnation was taken for the one on the host. Its report may be late; only an answer shows which one runs.

Change: no upkeep and no move is ordered while the newest incarnation has not answered this leader and another one has not ended. Each answer of an executor on such a host ends the others that were heard before the call was sent, also those that were recorded later.

--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -187,10 +187,11 @@
 	s.lapsed = nil
 }
 
-// endPredecessors concludes that the other executors on the host have ended, since
+// endOthersOnHost concludes that the other executors on the host have ended, since
 // a host runs one at a time and this one has answered a call that was sent after
-// they were last heard of.
-func (m *Manager) endPredecessors(s *session, sentAt, now time.Time) {
+// they were last heard of. One that was recorded later has ended as well: its report
+// was held up.
+func (m *Manager) endOthersOnHost(s *session, sentAt, now time.Time) {
 	if s.rec.Host == "" {
 		return
 	}
--- a/internal/core/manager/executor.go
+++ b/internal/core/manager/executor.go
@@ -336,8 +336,10 @@
 	}
 	if !s.confirmed {
 		s.confirm(now)
-		m.endPredecessors(s, sentAt, now)
+		m.endOthersOnHost(s, sentAt, now)
 		m.requestPasses()
+	} else if m.isContested(s.rec.Host) {
+		m.endOthersOnHost(s, sentAt, now)
 	}
 	m.hostAnswers(s, sentAt, now)
 	m.recordEnds(s, o.Ended, now)
--- a/internal/core/manager/host.go
+++ b/internal/core/manager/host.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"slices"
 	"time"
 
 	"laburnumdock/internal/core/jobs"
@@ -258,6 +259,17 @@
 	return time.Duration(max(s.sequence-1, 0)) * reportInterval
 }
 
+// isContested reports whether the newest executor on a host has not answered yet while
+// another one is not known to have ended. The report of the newest may have been held up,
+// so that the other one has the work. The next answer of the one that runs ends the others.
+func (m *Manager) isContested(name string) bool {
+	newest := m.sessionOn(name)
+	if name == "" || newest == nil || newest.confirmed {
+		return false
+	}
+	return slices.ContainsFunc(m.sessions.byHost[name], func(s *session) bool { return s != newest && !s.ended })
+}
+
 // sessionOn returns the session of the newest incarnation on a host, or nil.
 func (m *Manager) sessionOn(name string) *session { return m.sessions.newestOn(name) }
 
--- a/internal/core/manager/host_order_test.go
+++ b/internal/core/manager/host_order_test.go
@@ -163,3 +163,38 @@
 	l.step(time.Second)
 	require.Equal(t, 1, l.count(manager.CallUpkeepHost))
 }
+
+// Guards against the upkeep of a host whose executor is at work because a report that was
+// held up counts as that of a new executor on the host, which has no work.
+func TestLateReportOrdersNoUpkeepOfWorkingHost(t *testing.T) {
+	l := newDirectLeader(t)
+	l.report(restartReport(5, 1))
+	l.answerHolds("i-1", 5)
+	spec := &jobs.Spec{Steps: []jobs.Step{{Count: 3, Demand: jobs.Resources{CPU: 1}, LongRunning: true, MaxUnavailable: 1}}}
+	l.manager.HandleRequest(manager.Request{ID: 1, Kind: manager.RequestSubmit, Host: "h", Path: "/q/" + concludedJob, Spec: spec}, l.now)
+	l.step(0)
+	var rows []manager.RunningRow
+	for range 3 {
+		start := l.take(manager.CallStart)
+		l.answer(start, manager.Outcome{Verdict: manager.OK})
+		row := runningRow(start)
+		row.Percent = 100
+		rows = append(rows, row)
+	}
+	l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 60, rows...))
+	late := restartReport(3, 1)
+	late.ID = "i-0"
+	l.report(late)
+	l.requestWave(1, "host-1")
+	l.step(100 * time.Millisecond)
+	l.listHosts("host-1")
+	require.Zero(t, l.count(manager.CallUpkeepHost))
+	require.NotNil(t, l.state.ExecutorByID("i-0"))
+	l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 70, rows...))
+	l.step(100 * time.Millisecond)
+	l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 80, rows...))
+	l.step(100 * time.Millisecond)
+	require.Nil(t, l.state.ExecutorByID("i-0"), "the working executor has answered a call that was sent after the report")
+	require.Zero(t, l.count(manager.CallUpkeepHost))
+	require.Equal(t, 1, l.count(manager.CallStop), "one task at a time may be stopped")
+}
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -119,13 +119,22 @@
 	return best
 }
 
+// mayMove reports whether the executor's host may move: it answers and has no runs, and
+// no other executor may run on the host.
+func (m *Manager) mayMove(s *session, now time.Time) bool {
+	if len(s.runs) > 0 || s.reservedFor != actionNone || s.draining || s.ended || !s.confirmed || s.failures > 0 || s.rec.Host == "" {
+		return false
+	}
+	return !m.hosts.get(s.rec.Host).away && !m.isContested(s.rec.Host) && m.mayOrderHost(s.rec.Host, now)
+}
+
 // idleSession returns an executor without runs whose host may move, or nil.
 // Hosts with pending upkeep are preferred, because it disturbs no work in the
 // standby pool.
 func (m *Manager) idleSession(p *pool, now time.Time) *session {
 	var found *session
 	for _, s := range p.sessions {
-		if len(s.runs) == 0 && s.reservedFor == actionNone && !s.draining && !s.ended && s.confirmed && s.failures == 0 && s.rec.Host != "" && !m.hosts.get(s.rec.Host).away && m.mayOrderHost(s.rec.Host, now) {
+		if m.mayMove(s, now) {
 			found = s
 			if m.awaitsUpkeep(s.rec.Host) {
 				return s
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -248,7 +248,7 @@
 		m.waiveUpkeep(w, h, now)
 		return false
 	}
-	if h.orderPending || !m.mayOrderHost(name, now) {
+	if h.orderPending || m.isContested(name) || !m.mayOrderHost(name, now) {
 		return false
 	}
 	if h.away && (!w.isOrdered(name) || h.wave != w.rec.ID) {
