manager: count a job as waiting until a run of it is known to have started

Cause: the count went by the phase of the job, which changes with the record that precedes the order to start.

Change: a job counts until a start is answered with success, a list has a run of it, or an executor lists the end of one. A new leader goes by what the records prove (a task done or failed, a checkpoint) and by the next lists. The phase that callers see is as before.

Evidence: TestJobCountsAsWaitingUntilItsStartIsKnown fails without the change with 0 in place of 1.

--- a/internal/core/manager/crash.go
+++ b/internal/core/manager/crash.go
@@ -54,6 +54,7 @@
 	if r.startedBy.IsZero() {
 		r.startedBy = at
 	}
+	r.job.isStarted = true
 }
 
 // markListed notes that the executor listed the run, and lets the run prove itself.
--- a/internal/core/manager/manager.go
+++ b/internal/core/manager/manager.go
@@ -235,8 +235,10 @@
 	for occ, steps := range rec.Steps {
 		for s := range steps {
 			for i := range steps[s].Tasks {
+				t := &steps[s].Tasks[i]
+				j.isStarted = j.isStarted || t.Done || t.Failures > 0 || t.Checkpoint != ""
 				ref := jobs.TaskRef{Job: rec.ID, Occurrence: occ, Step: s, Index: i}
-				for _, live := range steps[s].Tasks[i].Runs {
+				for _, live := range t.Runs {
 					m.inheritRun(j, ref, live, now)
 				}
 			}
--- a/internal/core/manager/order.go
+++ b/internal/core/manager/order.go
@@ -152,7 +152,8 @@
 	}
 }
 
-// hasBegun reports whether a task of the job has started.
+// hasBegun reports whether the start of a task of the job is recorded. It may not have been
+// carried out; see isStarted.
 func (j *job) hasBegun() bool { return j.rec.Phase == jobs.PhaseRunning }
 
 // waitingJob is a job with tasks that wait for a run.
--- a/internal/core/manager/queue_change_test.go
+++ b/internal/core/manager/queue_change_test.go
@@ -201,6 +201,32 @@
 	require.Equal(t, manager.ReplyNoQueue, l.request(manager.Request{Kind: manager.RequestPending, Host: "h", Path: "/q/"}).Kind)
 }
 
+// Guards against jobs that are missing from the count of waiting jobs although their starts
+// did not reach the executor, also under a new leader.
+func TestJobCountsAsWaitingUntilItsStartIsKnown(t *testing.T) {
+	l := newDirectLeader(t)
+	pending := func() int {
+		return l.request(manager.Request{Kind: manager.RequestPending, Host: "h", Path: "/q/"}).Pending
+	}
+	l.report(restartReport(5, 1))
+	l.answerHolds("i-1", 5)
+	l.submit(concludedJob)
+	start := l.take(manager.CallStart)
+	require.Equal(t, 1, pending(), "the start has no answer yet")
+	l.answer(start, manager.Outcome{Verdict: manager.NoAnswer})
+	require.Equal(t, 1, pending())
+	l.lead()
+	require.Equal(t, 1, pending())
+	l.answer(l.takeFor(manager.CallHold, "i-1"), listing(5, 50, runningRow(start)))
+	require.Zero(t, pending())
+	l.lead()
+	l.submit(departedJob)
+	ended := listing(5, 60)
+	ended.Ended = []manager.EndedRow{{Number: 1, Task: start.Task, Run: start.Run, How: jobs.ResultFailed}}
+	l.answer(l.takeFor(manager.CallHold, "i-1"), ended)
+	require.Equal(t, 1, pending(), "only the other job waits")
+}
+
 // request makes a request that is answered at once.
 func (l *directLeader) request(req manager.Request) manager.Reply {
 	req.ID = 99
--- a/internal/core/manager/request.go
+++ b/internal/core/manager/request.go
@@ -144,13 +144,13 @@
 	}
 }
 
-// countQueued returns the number of jobs of a queue without a started task. Jobs that were
-// accepted while the queue had another name count as well.
+// countQueued returns the number of jobs of a queue of which no task is known to have
+// started. Jobs that were accepted while the queue had another name count as well.
 func (m *Manager) countQueued(queue *jobs.Queue) int {
 	count := 0
 	for _, j := range m.jobs {
 		isOfQueue := j.rec.Queue == queue.Name || j.queue != nil && j.queue.IsRetired() && j.queue.HasRouteOf(queue)
-		if isOfQueue && j.rec.Phase == jobs.PhaseQueued {
+		if isOfQueue && !j.isStarted && !j.rec.Phase.IsFinal() {
 			count++
 		}
 	}
--- a/internal/core/manager/run.go
+++ b/internal/core/manager/run.go
@@ -246,6 +246,9 @@
 			m.distrust(s, "runs of different jobs failed in a row", now)
 		}
 	}
+	if j := m.jobs[e.Task.Job]; j != nil && e.Number > 0 {
+		j.isStarted = true
+	}
 	r := m.runs[runKey{e.Task, e.Run}]
 	// The records accept the end of a run from any incarnation that lists it.
 	if r == nil || err != nil && r.session.rec.Number != e.Executor {
--- a/internal/core/manager/schedule.go
+++ b/internal/core/manager/schedule.go
@@ -44,6 +44,9 @@
 	// isExhausted is set when a task has used up its attempts and the end of the job is
 	// proposed. None of its tasks is started.
 	isExhausted bool
+	// isStarted is set once a run of some task is known to have started. The phase changes
+	// with the record that precedes the order, which may not reach the executor.
+	isStarted bool
 	// longRunning is set when a step runs until the job is cancelled.
 	longRunning bool
 	// submittedAt is the submission time on this leader's clock.
