manager: the model repeats a cancellation until it is accepted

Cause: the draw "slow listings" cancelled its long-running jobs once, through a queue that the draw "queues removed and restored" may have removed. Change: the model's client repeats the cancellation.

--- a/internal/core/manager/listing_simulation_test.go
+++ b/internal/core/manager/listing_simulation_test.go
@@ -184,6 +184,17 @@
 	return []string{s.submit("/quotes/", batchSpec(1+rng.IntN(6), int64(300+rng.IntN(1500))))}
 }
 
+// cancelUntilAccepted cancels a job. Its queue may be missing from the configuration, or
+// there may be no leader.
+func (s *simulation) cancelUntilAccepted(id string) {
+	s.cancel(id)
+	s.schedule(500*time.Millisecond, func() {
+		if s.jobs[id].cancelled.IsZero() {
+			s.cancelUntilAccepted(id)
+		}
+	})
+}
+
 // playSlowListings lets a pool grow from the standby pool while listings take almost as
 // long as their timeout and a wave asks for them, and puts long-running tasks on the hosts
 // that have just been moved.
@@ -197,7 +208,7 @@
 	for range 2 + rng.IntN(3) {
 		s.schedule(time.Duration(rng.IntN(9000))*time.Millisecond, func() {
 			id := s.submit("/stock/", longRunningSpec(10+rng.IntN(40)))
-			s.schedule(time.Duration(4000+rng.IntN(8000))*time.Millisecond, func() { s.cancel(id) })
+			s.schedule(time.Duration(4000+rng.IntN(8000))*time.Millisecond, func() { s.cancelUntilAccepted(id) })
 		})
 	}
 	return []string{s.submit("/quotes/", batchSpec(1+rng.IntN(6), int64(300+rng.IntN(1500))))}
