--- a/internal/core/jobs/command.go
+++ b/internal/core/jobs/command.go
@@ -74,7 +74,7 @@
 // EndRun records the end of a run.
 type EndRun struct {
 	Task TaskRef `cbor:"1,keyasint"`
-	// Run is the number of the run. An end with ResultFailed and 0 is that of no run: it
+	// Run is the number of the run. With 0 and ResultFailed there is no run: the command
 	// ends the job if the task has failed as often as its queue allows by now.
 	Run      int       `cbor:"2,keyasint"`
 	Executor int       `cbor:"3,keyasint"`
--- a/internal/core/manager/listing.go
+++ b/internal/core/manager/listing.go
@@ -10,13 +10,14 @@
 // This file holds the rule by which the leader uses the platform's listing of hosts:
 //
 //	A listing speaks of the time between its call and its answer. It shows nothing about
-//	a host that is contradicted by anything newer than its call: a report or an answer of
-//	the host's executor, the answer to an order for the host, the request of a wave that
-//	names it, or an order that has no answer yet.
+//	a host that is contradicted by anything newer than its call.
 //
-// A host is taken for removed only on a proof that is newer than everything that has shown
-// its presence: its absence from a complete listing, or the platform's answer to an order
-// that it does not know the host.
+// Its pool and its state are contradicted by a report or an answer of its executor, by the
+// answer to an order for it, and by an order that has no answer yet. Its absence is
+// contradicted by whatever shows its presence: these reports and answers, or the request
+// of a wave that names it. A host is taken for removed only on proof that is newer than its
+// presence: its absence from a complete listing, or the platform's answer to an order that
+// it does not know the host.
 
 // presenceSource is the kind of evidence that a host exists.
 type presenceSource uint8
--- a/internal/core/manager/request.go
+++ b/internal/core/manager/request.go
@@ -224,9 +224,8 @@
 }
 
 // endExhaustedJobs ends the jobs of which a task has failed as often as its queue allows
-// by now, because the limit has become known or lower since the task last failed. The end
-// of a run that was never started makes the records apply the limit, also those of an
-// earlier version.
+// by now, because the limit has become known or lower since the task last failed. An end
+// without a run makes the records apply the limit, also on replicas of an earlier version.
 func (m *Manager) endExhaustedJobs() {
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		j := m.jobs[id]
