manager: a refusal as busy is no evidence that a host exists

Cause: since a refusal of the upkeep as busy counted as newer than the listings that lacked the host, and the upkeep was ordered again every 0.5 s. The platform calls a host busy that it no longer lists.

Change: only an order that was carried out shows a host. No order is given for a host that the newest listing lacks although it began later than anything that showed the host; the next listing decides.

--- a/internal/core/manager/listing.go
+++ b/internal/core/manager/listing.go
@@ -28,8 +28,8 @@
 	presenceWave presenceSource = iota + 1
 	// presenceListing means that a listing contained the host.
 	presenceListing
-	// presenceOrder means that the platform's answer to an order shows that the host
-	// exists.
+	// presenceOrder means that the platform has carried out an order for the host. A
+	// refusal shows nothing: the platform may call a host busy that it no longer lists.
 	presenceOrder
 	// presenceReport and presenceAnswer mean that an executor on the host reported, or
 	// answered a call.
@@ -64,12 +64,8 @@
 		return
 	}
 	h.presence, h.removedAt = presence{source: source, at: at}, time.Time{}
-}
-
-// orderAnswered notes the platform's answer to an order as evidence that the host exists.
-func (h *host) orderAnswered(o Outcome, now time.Time) {
-	if o.Verdict == OK || o.Verdict == Refused && (o.Refusal == RefusedHostBusy || o.Refusal == RefusedNotInWave) {
-		h.exists(presenceOrder, now)
+	if at.After(h.absentSince) {
+		h.absences = 0
 	}
 }
 
@@ -240,8 +236,8 @@
 		case h.presence.at.After(inv.listStartedAt) || m.sessionOn(name) != nil:
 			h.absences = 0
 		default:
-			if h.absences == 0 || h.presence.at.After(h.absentSince) {
-				h.absences, h.absentSince = 0, inv.listStartedAt
+			if h.absences == 0 {
+				h.absentSince = inv.listStartedAt
 			}
 			if h.absences++; h.absences >= needed {
 				m.hostRemoved(h, removalAbsent, h.absentSince, now)
--- a/internal/core/manager/listing_simulation_test.go
+++ b/internal/core/manager/listing_simulation_test.go
@@ -167,6 +167,7 @@
 		h := s.addHost([]string{"a", "b"}[rng.IntN(2)])
 		names = append(names, h.name)
 		if rng.IntN(4) == 0 {
+			h.busyAfterRemoval = rng.IntN(2) == 0
 			s.schedule(time.Duration(rng.IntN(8000))*time.Millisecond, func() { s.removeHost(h) })
 		}
 	}
--- a/internal/core/manager/move.go
+++ b/internal/core/manager/move.go
@@ -198,10 +198,10 @@
 func (m *Manager) moveAnswered(pending pendingCall, o Outcome, now time.Time) {
 	h := m.hosts.get(pending.host)
 	h.orderPending, h.nextOrder = false, now.Add(hostOrderInterval)
-	h.orderAnswered(o, now)
 	s := m.sessionOn(pending.host)
 	switch o.Verdict {
 	case OK:
+		h.exists(presenceOrder, now)
 		h.pool = pending.pool
 		m.hostOrderDone(h, "host is being moved", now)
 		if config := m.state.Config(); config != nil {
--- a/internal/core/manager/simulation_test.go
+++ b/internal/core/manager/simulation_test.go
@@ -113,8 +113,11 @@
 	// doneWaves are the waves for which the host has had its upkeep.
 	doneWaves map[int64]bool
 	// removed is set once the platform has no such host any more.
-	removed  bool
-	executor *executor
+	removed bool
+	// busyAfterRemoval is set if the platform then refuses orders for it as busy, and not as
+	// unknown.
+	busyAfterRemoval bool
+	executor         *executor
 	// orderTerm and orderedAt are the term and the time of sending of the newest order
 	// that has arrived.
 	orderTerm uint64
@@ -908,6 +911,9 @@
 		return s.listHosts(c.PageToken)
 	}
 	h := s.hosts[c.Host]
+	if h != nil && h.removed && h.busyAfterRemoval {
+		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedHostBusy}
+	}
 	if h == nil || h.removed {
 		return manager.Outcome{Verdict: manager.Refused, Refusal: manager.RefusedUnknownHost}
 	}
--- a/internal/core/manager/wave.go
+++ b/internal/core/manager/wave.go
@@ -271,11 +271,12 @@
 }
 
 // tryUpkeepWithoutExecutor orders the upkeep of a host without a known executor, unless
-// the newest listing shows that it is not up. A host that this listing lacks may have been
-// added after it began, or its row was lost. The platform refuses the upkeep of a host that
-// does not exist.
+// the newest listing shows that it is not up, or lacks it although it began later than
+// anything that showed the host: then the next listing decides. A host may also be missing
+// because it was added after the listing began, or because some rows could not be read. The
+// platform refuses the upkeep of a host that does not exist.
 func (m *Manager) tryUpkeepWithoutExecutor(w *wave, h *host, now time.Time) bool {
-	if !h.listedAt.Before(m.hosts.listedAt) && h.listed.State != HostUp {
+	if h.absences > 0 || !h.listedAt.Before(m.hosts.listedAt) && h.listed.State != HostUp {
 		return false
 	}
 	m.orderUpkeep(w, h, now)
@@ -321,7 +322,6 @@
 func (m *Manager) upkeepAnswered(pending pendingCall, o Outcome, now time.Time) {
 	h := m.hosts.get(pending.host)
 	h.orderPending, h.nextOrder = false, now.Add(hostOrderInterval)
-	h.orderAnswered(o, now)
 	w := m.waves[pending.wave]
 	if w == nil {
 		return
@@ -329,6 +329,7 @@
 	order := w.ordered[pending.host]
 	switch {
 	case o.Verdict == OK:
+		h.exists(presenceOrder, now)
 		m.propose(jobs.Command{RecordUpkeep: &jobs.RecordUpkeep{Wave: pending.wave, Host: pending.host}})
 		m.hostOrderDone(h, "host is in upkeep", now)
 	case o.Verdict == Refused && o.Refusal == RefusedUnknownHost && !h.presence.at.After(pending.sentAt):
