--- a/internal/crowd/kinds_test.go
+++ b/internal/crowd/kinds_test.go
@@ -19,6 +19,8 @@
 	send func(w io.Writer, p port, member int) error
 	// prepare is applied to a connection before it sends.
 	prepare func(conn *net.TCPConn) error
+	// reads is set if the members read the answers to what they send.
+	reads bool
 }
 
 const (
@@ -182,6 +184,9 @@
 		_ = k.prepare(conn.(*net.TCPConn))
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(sendTime))
+	if k.reads {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+	}
 	// The process may refuse at any point.
 	_ = k.send(conn, p, member)
 	return conn
