api: refuse bodies with too many values for their size

Callers saw: dock-control took more memory than its host has when many clients sent changes of legal size at once.

Cause: a condition of two bytes in the status of a resource takes 80 bytes once it is decoded, and the list of them is copied while it grows.

A body may have 1000 values and one more for each 8 bytes. A list of all 16,000 hosts of a fleet is still accepted.

--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -46,11 +46,22 @@
 	return nil, fault.InvalidField("body", "a complete body", "body ends early: %s", err.Error())
 }
 
+// A body may have freeBodyValues values and one more for each leastValueBytes of its size,
+// counted by their commas. A value of two bytes may take a hundred bytes once it is decoded.
+// The longest lists of a resource are names of hosts.
+const (
+	freeBodyValues  = 1000
+	leastValueBytes = 8
+)
+
 // decodeBody decodes a single JSON object into v and rejects unknown fields.
 func decodeBody(body []byte, v any) *fault.Error {
 	if trimmed := bytes.TrimLeft(body, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
 		return fault.InvalidField("body", "one JSON object", "body is not a JSON object")
 	}
+	if most := freeBodyValues + len(body)/leastValueBytes; bytes.Count(body, []byte{','}) > most {
+		return &fault.Error{Kind: fault.TooLarge, Field: "body", Limit: "0 to " + strconv.Itoa(most) + " commas", Message: "body has too many values for its size"}
+	}
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
