rpc: refuse messages that take far more memory than their bytes

Callers saw: a process took more memory than its host has when clients sent messages of legal size to the port for other processes of the system.

Cause: an empty message in a list has two bytes and becomes up to 280 bytes once it is decoded, in JSON from three bytes. Requests were bounded only by the limit of the listener, an eighth of the memory.

The new codec adds up what the parts of a message take before it decodes them, and refuses more than 12 times the encoded size. Messages of up to 400 bytes cannot exceed what is free. Requests that carry neither Raft messages nor streams have at most 2 MB, JSON at most 1 KB.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -15,7 +15,6 @@
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
@@ -29,6 +28,7 @@
 	"laburnumdock/internal/lead"
 	"laburnumdock/internal/logevent"
 	"laburnumdock/internal/orders"
+	"laburnumdock/internal/rpc"
 	"laburnumdock/internal/wal"
 )
 
@@ -184,10 +184,11 @@
 func (c *Cell) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(c.replica.RaftHandler())
-	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: c.replica}, connect.WithReadMaxBytes(intake.MaxStreamMessage)))
-	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(service{cell: c}))
-	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(service{cell: c}))
-	mux.Handle(laburnumdockv1connect.NewOrderServiceHandler(&orders.Service{Client: c.cfg.PlatformClient, Stopping: c.stopping}, connect.WithReadMaxBytes(intake.MaxStreamMessage)))
+	requests, streams := rpc.ServerOptions(rpc.MaxRequestBytes), rpc.ServerOptions(intake.MaxStreamMessage)
+	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: c.replica}, streams))
+	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(service{cell: c}, requests))
+	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(service{cell: c}, requests))
+	mux.Handle(laburnumdockv1connect.NewOrderServiceHandler(&orders.Service{Client: c.cfg.PlatformClient, Stopping: c.stopping}, streams))
 	return mux
 }
 
--- a/internal/control/raftservice.go
+++ b/internal/control/raftservice.go
@@ -12,6 +12,7 @@
 	"laburnumdock/internal/answer"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/raft"
+	"laburnumdock/internal/rpc"
 )
 
 // raftService receives the Raft messages of the other replicas.
@@ -19,7 +20,8 @@
 
 // RaftHandler returns the path and the handler of the RaftService.
 func (r *Replica) RaftHandler() (string, http.Handler) {
-	return laburnumdockv1connect.NewRaftServiceHandler(raftService{r: r})
+	// The listener bounds the size of a message, which may hold a snapshot.
+	return laburnumdockv1connect.NewRaftServiceHandler(raftService{r: r}, rpc.ServerOptions(0))
 }
 
 // Deliver implements the RaftService.
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -13,10 +13,11 @@
 	"laburnumdock/internal/core/dispatch"
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/member"
+	"laburnumdock/internal/rpc"
 )
 
 func (h *Host) routePeers(mux *http.ServeMux) {
-	path, handler := laburnumdockv1connect.NewPeerServiceHandler(&peerService{host: h}, connect.WithReadMaxBytes(maxExchangeBytes))
+	path, handler := laburnumdockv1connect.NewPeerServiceHandler(&peerService{host: h}, rpc.ServerOptions(maxExchangeBytes))
 	mux.Handle(path, handler)
 }
 
--- a/internal/jobclient/relay.go
+++ b/internal/jobclient/relay.go
@@ -10,6 +10,7 @@
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
 	"laburnumdock/internal/answer"
 	"laburnumdock/internal/core/fault"
+	"laburnumdock/internal/rpc"
 )
 
 // relay forwards requests of entry hosts that cannot reach the leader. It forwards
@@ -23,8 +24,9 @@
 // RelayHandler returns the handler for the peer listener of an entry host.
 func (c *Client) RelayHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(relay{client: c}))
-	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(relay{client: c}))
+	options := rpc.ServerOptions(rpc.MaxRequestBytes)
+	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(relay{client: c}, options))
+	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(relay{client: c}, options))
 	return mux
 }
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 
-	"connectrpc.com/connect"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -23,6 +22,7 @@
 	"laburnumdock/internal/logevent"
 	"laburnumdock/internal/platform"
 	"laburnumdock/internal/process"
+	"laburnumdock/internal/rpc"
 	"laburnumdock/internal/settings"
 )
 
@@ -73,7 +73,7 @@
 	if fleetController != nil {
 		service.HandleLoads = fleetController.EnqueueLoads
 	}
-	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(service, connect.WithReadMaxBytes(intake.MaxStreamMessage)))
+	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(service, rpc.ServerOptions(intake.MaxStreamMessage)))
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
