codec: bound the lists of values from other processes

Callers saw: dock-cell took more memory than its host has when clients sent jobs of legal size to its port for other processes.

Cause: an empty step in the encoded value of a job has one byte and takes about 250 bytes once it is decoded; lists of up to 10 million elements were decoded.

Stored values keep their limit of 10 million.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -15,7 +15,7 @@
 
 var (
 	encMode = newEncMode()
-	decMode = newDecMode()
+	decMode = mustDecMode()
 )
 
 func newEncMode() cbor.EncMode {
@@ -29,19 +29,27 @@
 	return mode
 }
 
-func newDecMode() cbor.DecMode {
-	// The encoder accepts texts that are not valid UTF-8. If the decoder rejected
-	// them, an entry of the log with such a text would stop every replica, and stop
-	// it again after each restart.
-	mode, err := cbor.DecOptions{
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: 10_000_000, MaxMapPairs: 10_000_000, UTF8: cbor.UTF8DecodeInvalid,
-	}.DecMode()
+// maxStoredElements bounds the lists of stored values.
+const maxStoredElements = 10_000_000
+
+func mustDecMode() cbor.DecMode {
+	mode, err := newDecMode(maxStoredElements)
 	if err != nil {
 		panic(err)
 	}
 	return mode
 }
 
+// newDecMode returns a decoder of values whose lists have at most the given length.
+func newDecMode(maxElements int) (cbor.DecMode, error) {
+	// The encoder accepts texts that are not valid UTF-8. If the decoder rejected
+	// them, an entry of the log with such a text would stop every replica, and stop
+	// it again after each restart.
+	return cbor.DecOptions{
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxArrayElements: maxElements, MaxMapPairs: maxStoredElements, UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
+}
+
 // envelope is an encoded value with the name of its type.
 type envelope struct {
 	Type string          `cbor:"t"`
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -163,6 +163,8 @@
 		return fault.InvalidField(field+".needs", "0 or more", "demand is negative")
 	case s.MaxPerExecutor < 0 || s.MaxUnavailable < 0 || s.TailLatencyTarget < 0 || s.Estimate < 0:
 		return fault.InvalidField(field, "0 or more", "a number is negative")
+	case len(s.After) > MaxSteps:
+		return fault.InvalidField(field+".after", "at most 256 steps", "list has %d", len(s.After))
 	}
 	for _, after := range s.After {
 		if after < 0 || after >= index {
