cell: bound the entry hosts and the replicas that name themselves

Cause: whoever asks names itself as an entry host, in up to an eighth of the memory, and the name is kept for 5 s and sent to everybody who asks. Names of replicas that ask to join were kept alike.

At most 1024 entry hosts and 256 replicas are kept, each with the base URL of a process of at most 256 bytes. One that is known is renewed although the list is full.

--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -22,6 +22,8 @@
 	// joinRequestTTL is how long a request to join is kept. Joiners repeat it
 	// more often.
 	joinRequestTTL = 3 * time.Second
+	// maxJoinRequests bounds the replicas that ask to join at the same time.
+	maxJoinRequests = 256
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = 2 * time.Second
 )
@@ -75,11 +77,16 @@
 	}
 }
 
-// addJoinRequest records a request to join. Any goroutine may call it.
-func (m *membershipReconciler) addJoinRequest(j quorum.Joiner, now time.Time) {
+// addJoinRequest records a request to join. It returns false if there are too many others.
+// Any goroutine may call it.
+func (m *membershipReconciler) addJoinRequest(j quorum.Joiner, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, known := m.joinRequests[j.Address]; !known && len(m.joinRequests) >= maxJoinRequests {
+		return false
+	}
 	m.joinRequests[j.Address] = joinRequest{joiner: j, receivedAt: now}
+	return true
 }
 
 // run checks the membership at every reconcileInterval until ctx ends.
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -119,10 +120,12 @@
 	if !s.cell.replica.IsLeader() {
 		return nil, answer.ConnectError(fault.New(fault.NotLeader, "this replica does not lead"))
 	}
-	if req.Msg.GetId() == 0 || req.Msg.GetAddress() == "" {
-		return nil, answer.ConnectError(fault.InvalidField("id", "an ID and an address", "the request names no replica"))
+	if req.Msg.GetId() == 0 || !isBaseURL(req.Msg.GetAddress()) {
+		return nil, answer.ConnectError(fault.InvalidField("id", "an ID and a base URL", "the request names no replica"))
+	}
+	if !s.cell.membership.addJoinRequest(quorum.Joiner{ID: req.Msg.GetId(), Address: req.Msg.GetAddress()}, time.Now()) {
+		return nil, answer.ConnectError(fault.New(fault.Overloaded, "%d replicas have asked to join", maxJoinRequests))
 	}
-	s.cell.membership.addJoinRequest(quorum.Joiner{ID: req.Msg.GetId(), Address: req.Msg.GetAddress()}, time.Now())
 	return connect.NewResponse(&pb.JoinResponse{}), nil
 }
 
@@ -188,14 +191,26 @@
 // entryHostTTL is how long an entry host is listed after its last request.
 const entryHostTTL = 5 * time.Second
 
+const (
+	// maxEntryHosts bounds the entry hosts that are listed. Any client that reaches the peer
+	// listener can name one.
+	maxEntryHosts = 1024
+	// maxURLBytes bounds the base URL of a process.
+	maxURLBytes = 256
+)
+
+// isBaseURL reports whether a text may be the base URL of a process.
+func isBaseURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && len(text) <= maxURLBytes && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
+}
+
 // recordAndList records a request of sender and returns all entry hosts that sent
-// one recently.
+// one recently. A sender that is no base URL, or that comes when the list is full, is not
+// recorded.
 func (r *entryHostRegistry) recordAndList(sender string, now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if sender != "" {
-		r.lastSeen[sender] = now
-	}
 	var list []string
 	for url, at := range r.lastSeen {
 		if now.Sub(at) > entryHostTTL {
@@ -204,5 +219,11 @@
 		}
 		list = append(list, url)
 	}
+	if _, known := r.lastSeen[sender]; known {
+		r.lastSeen[sender] = now
+	} else if len(list) < maxEntryHosts && isBaseURL(sender) {
+		r.lastSeen[sender] = now
+		list = append(list, sender)
+	}
 	return list
 }
