orders: bound the orders that a replica carries out for a leader

Callers saw: dock-cell took more memory than its host has, when clients opened streams for orders and sent many small ones.

Cause: each order of a message starts a goroutine, which waits until its outcome is read. A message of 1 MB started 524,288.

A replica carries out at most 8192 orders at the same time. The outcome of one more is that it was not sent, which is true, and the leader may give it again (TestOrdersBeyondTheLimitAreNotSent).

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -332,6 +332,40 @@
 	require.Zero(t, remote.count())
 }
 
+// Guards against a stream with more orders than the process can bear, and against an order
+// that is not sent although its outcome leaves that open.
+func TestOrdersBeyondTheLimitAreNotSent(t *testing.T) {
+	client := &fakePlatform{}
+	url, _ := startReplica(t, client)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	stream := laburnumdockv1connect.NewOrderServiceClient(&http.Client{Transport: transport}, url).CarryOut(ctx)
+	order := func(id uint64) *pb.Order {
+		return &pb.Order{Id: id, Address: "silent", TimeoutMs: waitTimeout.Milliseconds(), SendUntilNs: int64(boottime.Now() + waitTimeout)}
+	}
+	req := new(pb.CarryOutRequest)
+	for id := range uint64(maxServiceOrders) {
+		req.Orders = append(req.Orders, order(id+1))
+	}
+	require.NoError(t, stream.Send(req))
+	require.NoError(t, stream.Send(&pb.CarryOutRequest{Orders: []*pb.Order{order(maxServiceOrders + 1)}}))
+	for {
+		resp, err := stream.Receive()
+		require.NoError(t, err)
+		if len(resp.GetOutcomes()) == 0 {
+			continue
+		}
+		require.Len(t, resp.GetOutcomes(), 1)
+		require.EqualValues(t, maxServiceOrders+1, resp.GetOutcomes()[0].GetId())
+		require.EqualValues(t, manager.NotSent, resp.GetOutcomes()[0].GetVerdict())
+		return
+	}
+}
+
 // brokenReplica is an order service that breaks its stream. It counts the orders that
 // it read.
 type brokenReplica struct {
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"connectrpc.com/connect"
 
@@ -15,6 +16,11 @@
 // outcomeQueueLength bounds the outcomes that wait for the stream to the leader.
 const outcomeQueueLength = 1024
 
+// maxServiceOrders bounds the orders that a Service carries out at the same time, on all its
+// streams. A leader has one call to list runs and a few orders in flight at each executor,
+// and shares 16,000 executors among several replicas.
+const maxServiceOrders = 8192
+
 // Service sends orders to executors for a leader on another host. It sends an order
 // only before its permission ends on this host's clock, however late the order was
 // delivered.
@@ -24,6 +30,8 @@
 	// Stopping is closed when this replica stops, because an open stream would
 	// keep its listener from closing.
 	Stopping <-chan struct{}
+	// inFlight is the number of orders that are being carried out.
+	inFlight atomic.Int64
 }
 
 // CarryOut implements the OrderService.
@@ -52,7 +60,8 @@
 	}
 }
 
-// receiveOrders starts a goroutine for each order.
+// receiveOrders starts a goroutine for each order. Orders beyond the limit are not sent, and
+// their outcome says so.
 func (s *Service) receiveOrders(ctx context.Context, stream *connect.BidiStream[pb.CarryOutRequest, pb.CarryOutResponse], outcomes chan<- *pb.OrderOutcome) error {
 	for {
 		req, err := stream.Receive()
@@ -60,15 +69,23 @@
 			return err
 		}
 		for _, m := range req.GetOrders() {
-			go func() {
-				o := manager.Outcome{ID: m.GetId(), Verdict: manager.NotSent}
-				if c, ok := orderFromWire(m); ok {
-					o = do(ctx, s.Client, c)
-				}
+			report := func(o manager.Outcome) {
 				select {
 				case <-ctx.Done():
 				case outcomes <- outcomeToWire(&o):
 				}
+			}
+			c, ok := orderFromWire(m)
+			if !ok || s.inFlight.Add(1) > maxServiceOrders {
+				if ok {
+					s.inFlight.Add(-1)
+				}
+				report(manager.Outcome{ID: m.GetId(), Verdict: manager.NotSent})
+				continue
+			}
+			go func() {
+				defer s.inFlight.Add(-1)
+				report(do(ctx, s.Client, c))
 			}()
 		}
 	}
