rpc: bound the answers of other processes

Callers saw: an entry host took more memory than its host has when it asked the replicas of its cell for the leader, and something else answered at their addresses. Any client can name an entry host that others then ask.

Cause: clients of the RPC services read answers without a limit, and their heads up to 10 MB.

Their messages are checked like those that arrive at a server.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -23,7 +23,6 @@
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/jobs"
 	"laburnumdock/internal/core/manager"
-	"laburnumdock/internal/intake"
 	"laburnumdock/internal/jobclient"
 	"laburnumdock/internal/lead"
 	"laburnumdock/internal/logevent"
@@ -184,7 +183,7 @@
 func (c *Cell) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(c.replica.RaftHandler())
-	requests, streams := rpc.ServerOptions(rpc.MaxRequestBytes), rpc.ServerOptions(intake.MaxStreamMessage)
+	requests, streams := rpc.ServerOptions(rpc.MaxRequestBytes), rpc.ServerOptions(rpc.MaxMessageBytes)
 	mux.Handle(laburnumdockv1connect.NewControlServiceHandler(&control.Service{Replica: c.replica}, streams))
 	mux.Handle(laburnumdockv1connect.NewJobServiceHandler(service{cell: c}, requests))
 	mux.Handle(laburnumdockv1connect.NewCellServiceHandler(service{cell: c}, requests))
--- a/internal/cell/format.go
+++ b/internal/cell/format.go
@@ -18,6 +18,7 @@
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/core/quorum"
 	"laburnumdock/internal/jobclient"
+	"laburnumdock/internal/rpc"
 )
 
 const (
@@ -47,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, formatTimeout)
 	defer cancel()
-	resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Formats(ctx, connect.NewRequest(&pb.FormatsRequest{}))
+	resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Formats(ctx, connect.NewRequest(&pb.FormatsRequest{}))
 	switch {
 	case err == nil:
 		return int(resp.Msg.GetNewest())
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,6 +14,7 @@
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
 	"laburnumdock/internal/core/raft"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/rpc"
 )
 
 const (
@@ -86,8 +87,8 @@
 	client := &http.Client{Transport: transport}
 	next := &peer{
 		peers: p, id: id, url: url, queue: make(chan raft.Message, peerQueueLength), snapshots: make(chan raft.Message, 1),
-		raft:      laburnumdockv1connect.NewRaftServiceClient(client, url),
-		control:   laburnumdockv1connect.NewControlServiceClient(client, url),
+		raft:      laburnumdockv1connect.NewRaftServiceClient(client, url, rpc.ClientOptions(rpc.MaxMessageBytes)),
+		control:   laburnumdockv1connect.NewControlServiceClient(client, url, rpc.ClientOptions(rpc.MaxMessageBytes)),
 		transport: transport, cancel: cancel,
 	}
 	p.byID[id] = next
@@ -107,7 +108,7 @@
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig, Protocols: protocols,
+		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig, Protocols: protocols, MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 	}
 }
--- a/internal/crowd/answers_test.go
+++ b/internal/crowd/answers_test.go
@@ -16,6 +16,8 @@
 const (
 	// hostileExecutors is the number of executors of a cell that answer as they like.
 	hostileExecutors = 32
+	// hostilePeers is the number of processes that pose as replicas of a cell.
+	hostilePeers = 16
 	// hostileAnswerBytes is what each sends as an answer, at most.
 	hostileAnswerBytes = 64 << 20
 )
@@ -27,7 +29,7 @@
 }
 
 func answerKinds() []answerKind {
-	const ok = "HTTP/1.1 200 OK\r\n"
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n"
 	endless := func(w io.Writer, text string) error {
 		piece := strings.Repeat(text, pieceBytes/len(text))
 		for sent := 0; sent < hostileAnswerBytes; sent += len(piece) {
@@ -70,8 +72,10 @@
 }
 
 // hostileExecutor answers each call in one way, and returns its address.
-func hostileExecutor(t *testing.T, k answerKind) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func hostileExecutor(t *testing.T, k answerKind) string { return hostileServer(t, "127.0.0.1:0", k) }
+
+func hostileServer(t *testing.T, address string, k answerKind) string {
+	l, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
@@ -132,3 +136,33 @@
 		})
 	}
 }
+
+// Guards against answers of other processes of the system, or of what poses as one, that take
+// the memory of an entry host.
+func TestAnswersOfPeers(t *testing.T) {
+	for _, k := range answerKinds() {
+		t.Run(k.name, func(t *testing.T) {
+			cell := startCell(t)
+			peerPort := portOf(cell.ports[1].address)
+			// Replicas have one port on different addresses.
+			hosts := make([]string, 0, hostilePeers)
+			for i := range hostilePeers {
+				address := fmt.Sprintf("127.0.0.%d:%s", 2+i, peerPort)
+				hostileServer(t, address, k)
+				hosts = append(hosts, address)
+			}
+			s := startJobsOn(t, testHost, cell, hosts...)
+			stop := s.process.watch(s.ports)
+			require.NoError(t, cell.process.cmd.Process.Kill())
+			<-cell.process.exited
+			// The entry host looks for another leader.
+			time.Sleep(2 * standTime)
+			cell.process = cell.restart()
+			eventually(t, s.process, s.ordinary, "no ordinary request is answered")
+			descriptors, unread := stop()
+			memory := s.process.peakMemory(t)
+			t.Logf("%d peers: memory at most %d MB, descriptors %d", hostilePeers, memory>>20, descriptors)
+			s.process.requireWithin(t, memory+unread, descriptors)
+		})
+	}
+}
--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -113,12 +113,13 @@
 // startJobs starts an entry host for jobs of a cell.
 func startJobs(t *testing.T) *system { return startJobsOn(t, testHost, startCell(t)) }
 
-func startJobsOn(t *testing.T, h host, cell *system) *system {
+// startJobsOn starts an entry host that knows more seeds than the cell.
+func startJobsOn(t *testing.T, h host, cell *system, seeds ...string) *system {
 	a := freeAddresses(t, 4)
 	callers, peer, ready, metrics := a[0], a[1], a[2], a[3]
 	p := start(t, h, "dock-jobs", []string{
 		"[process]", "name = jobs", "zone = z", "[callers]", "listen = " + callers, "[peer]", "listen = " + peer,
-		"[ready]", "listen = " + ready, "[metrics]", "listen = " + metrics, "[cell]", "seeds = " + cell.ports[0].address, "peer-port = " + portOf(cell.ports[1].address),
+		"[ready]", "listen = " + ready, "[metrics]", "listen = " + metrics, "[cell]", "seeds = " + strings.Join(append(seeds, cell.ports[0].address), ","), "peer-port = " + portOf(cell.ports[1].address),
 	})
 	job := 0
 	submit := func() bool {
--- a/internal/entry/controlclient.go
+++ b/internal/entry/controlclient.go
@@ -16,6 +16,7 @@
 	"laburnumdock/internal/core/fault"
 	"laburnumdock/internal/core/model"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/rpc"
 )
 
 // Timing of the connections to the control replicas.
@@ -54,7 +55,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		Protocols: protocols, IdleConnTimeout: idleTimeout,
+		Protocols: protocols, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: controlPingTimeout, PingTimeout: controlPingTimeout},
 	}}
 }
@@ -76,7 +77,7 @@
 func newControlServiceClients(cfg Config, client *http.Client) []laburnumdockv1connect.ControlServiceClient {
 	var list []laburnumdockv1connect.ControlServiceClient
 	for _, address := range cfg.ControlReplicas {
-		list = append(list, laburnumdockv1connect.NewControlServiceClient(client, address))
+		list = append(list, laburnumdockv1connect.NewControlServiceClient(client, address, rpc.ClientOptions(rpc.MaxMessageBytes)))
 	}
 	return list
 }
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -14,6 +14,7 @@
 	"laburnumdock/internal/core/dispatch"
 	"laburnumdock/internal/core/member"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/rpc"
 )
 
 // Timing and size limit of the exchange of announcements and slot use between entry
@@ -46,7 +47,7 @@
 
 func newPeer(h *Host, address string) *peer {
 	client := h.cfg.dedicatedClient()
-	return &peer{host: h, address: address, httpClient: client, client: laburnumdockv1connect.NewPeerServiceClient(client, address)}
+	return &peer{host: h, address: address, httpClient: client, client: laburnumdockv1connect.NewPeerServiceClient(client, address, rpc.ClientOptions(maxExchangeBytes))}
 }
 
 func (p *peer) run(ctx context.Context) error {
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumdock/internal/core/budget"
+	"laburnumdock/internal/rpc"
 )
 
 // The states of a body.
@@ -23,10 +24,9 @@
 	// memoryFactor is what a byte of a body takes in memory: the bytes, the buffer in which
 	// they were received, the decoded request and its copy on the way to the leader.
 	memoryFactor = 4
-	// MaxStreamMessage is the largest message of a stream between processes of the system. A
-	// stream holds at most one that is incomplete, in a buffer that grows by doubling.
-	MaxStreamMessage = 8 << 20
-	streamFactor     = 2
+	// streamFactor is the same for a stream, which holds at most one message that is
+	// incomplete, in a buffer that grows by doubling.
+	streamFactor = 2
 	// progressBytes is what a client must send of a body to count as making progress, so that
 	// a byte now and then does not.
 	progressBytes = 4 << 10
@@ -110,7 +110,7 @@
 	small := int64(*b.guard.settings.SmallBodyBytes)
 	limit, factor := b.limit, int64(memoryFactor)
 	if b.stream {
-		limit, factor = MaxStreamMessage, streamFactor
+		limit, factor = rpc.MaxMessageBytes, streamFactor
 	}
 	if b.read >= limit {
 		return b.requireEnd()
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -24,6 +24,7 @@
 	"laburnumdock/internal/core/jobs"
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/rpc"
 )
 
 const (
@@ -119,7 +120,7 @@
 // NewTransport returns the HTTP transport used between the processes of a cell.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes}
 }
 
 // Run follows the leader until ctx ends.
@@ -207,7 +208,7 @@
 func (c *Client) queryMembers(ctx context.Context, url string) *pb.MembersResponse {
 	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
-	resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Members(ctx, connect.NewRequest(&pb.MembersRequest{EntryHost: c.cfg.Self}))
+	resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Members(ctx, connect.NewRequest(&pb.MembersRequest{EntryHost: c.cfg.Self}))
 	if err != nil {
 		return nil
 	}
@@ -301,7 +302,7 @@
 	var reply manager.Reply
 	mayHaveRun, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
 		msg.ConfigVersion = c.configVersion.Load()
-		resp, err := laburnumdockv1connect.NewJobServiceClient(c.http, url).Ask(ctx, connect.NewRequest(msg))
+		resp, err := laburnumdockv1connect.NewJobServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Ask(ctx, connect.NewRequest(msg))
 		if err != nil {
 			return err
 		}
@@ -350,7 +351,7 @@
 		msg.Reports = append(msg.Reports, reportToWire(&reports[i]))
 	}
 	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
-		_, err := laburnumdockv1connect.NewJobServiceClient(c.http, url).Report(ctx, connect.NewRequest(msg))
+		_, err := laburnumdockv1connect.NewJobServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Report(ctx, connect.NewRequest(msg))
 		return err
 	})
 	return err
@@ -359,7 +360,7 @@
 // Join asks the leader to add a replica to the cell.
 func (c *Client) Join(ctx context.Context, id uint64, address string) error {
 	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
-		_, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Join(ctx, connect.NewRequest(&pb.JoinRequest{Id: id, Address: address}))
+		_, err := laburnumdockv1connect.NewCellServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Join(ctx, connect.NewRequest(&pb.JoinRequest{Id: id, Address: address}))
 		return err
 	})
 	return err
@@ -370,7 +371,7 @@
 func (c *Client) Members(ctx context.Context) (map[uint64]string, error) {
 	members := map[uint64]string{}
 	_, err := c.withLeader(ctx, func(ctx context.Context, url string) error {
-		resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url).Members(ctx, connect.NewRequest(&pb.MembersRequest{}))
+		resp, err := laburnumdockv1connect.NewCellServiceClient(c.http, url, rpc.ClientOptions(rpc.MaxAnswerBytes)).Members(ctx, connect.NewRequest(&pb.MembersRequest{}))
 		if err != nil {
 			return err
 		}
--- a/internal/jobclient/relay.go
+++ b/internal/jobclient/relay.go
@@ -42,7 +42,7 @@
 	if _, ok := r.client.DirectLeaderTerm(); !ok {
 		return nil, answer.ConnectError(fault.New(fault.NotLeader, "this entry host does not reach the leader"))
 	}
-	resp, err := laburnumdockv1connect.NewJobServiceClient(r.client.http, r.client.LeaderURL()).Ask(ctx, connect.NewRequest(req.Msg))
+	resp, err := laburnumdockv1connect.NewJobServiceClient(r.client.http, r.client.LeaderURL(), rpc.ClientOptions(rpc.MaxAnswerBytes)).Ask(ctx, connect.NewRequest(req.Msg))
 	if err != nil {
 		return nil, answer.ConnectError(answer.RemoteError(err, fault.OutcomeUnknown))
 	}
--- a/internal/orders/distributed.go
+++ b/internal/orders/distributed.go
@@ -10,6 +10,7 @@
 	"laburnumdock/gen/laburnumdock/v1/laburnumdockv1connect"
 	"laburnumdock/internal/core/manager"
 	"laburnumdock/internal/logevent"
+	"laburnumdock/internal/rpc"
 )
 
 const (
@@ -54,7 +55,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &DistributedSender{cfg: cfg, client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, Protocols: protocols,
+		DialContext: dialer.DialContext, Protocols: protocols, MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 	}}}
 }
@@ -120,7 +121,7 @@
 	p := s.proxies[url]
 	if p == nil {
 		p = &proxy{
-			url: url, client: laburnumdockv1connect.NewOrderServiceClient(s.client, url), deliver: deliver, log: s.cfg.Log,
+			url: url, client: laburnumdockv1connect.NewOrderServiceClient(s.client, url, rpc.ClientOptions(rpc.MaxMessageBytes)), deliver: deliver, log: s.cfg.Log,
 			queue: make(chan []manager.Call, proxyQueueLength), stopped: make(chan struct{}),
 		}
 		s.proxies[url] = p
--- a/internal/process/tls.go
+++ b/internal/process/tls.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"laburnumdock/internal/rpc"
 	"laburnumdock/internal/settings"
 )
 
@@ -56,9 +57,10 @@
 func NewClient(c settings.ClientTLS) (*http.Client, error) {
 	protocols := new(http.Protocols)
 	transport := &http.Transport{
-		Protocols:       protocols,
-		IdleConnTimeout: time.Minute,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
+		Protocols:              protocols,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 	}
 	if *c.CAFile == "" {
 		protocols.SetUnencryptedHTTP2(true)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -73,7 +73,7 @@
 	if fleetController != nil {
 		service.HandleLoads = fleetController.EnqueueLoads
 	}
-	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(service, rpc.ServerOptions(intake.MaxStreamMessage)))
+	peers.Handle(laburnumdockv1connect.NewControlServiceHandler(service, rpc.ServerOptions(rpc.MaxMessageBytes)))
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
