logevent: bound the lines that clients can cause

Callers saw: one client filled the log of a process with requests that cannot be read, with paths of up to 20 KB in each line, or with requests that it gave up.

Cause: each such request wrote a line with its whole path.

A Limited writes 100 lines of an event and then 5 a second, cuts texts at 256 bytes, and says in the next line how many it left out. It serves request_malformed, request_unanswered, job_refused and config_refused.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -61,6 +61,7 @@
 	// queries are the questions to the members in flight.
 	queries     sync.WaitGroup
 	refusedKeys *refusedKeys
+	refusedJobs *logevent.Limited
 	tenants     tenantMetrics
 }
 
@@ -69,7 +70,7 @@
 	orders := newOrderMetrics(cfg.Metrics)
 	return &Leader{
 		cfg: cfg, pending: map[uint64]chan<- manager.Reply{}, metrics: orders, tenants: tenantMetrics{registry: orders.registry},
-		refusedKeys: newRefusedKeys(cfg.Metrics),
+		refusedKeys: newRefusedKeys(cfg.Metrics), refusedJobs: cfg.Log.Limited(logevent.JobRefused),
 	}
 }
 
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -13,7 +13,6 @@
 // logEvents maps the manager's events to log events.
 var logEvents = map[manager.EventKind]logevent.Event{
 	manager.EventJobAccepted:        logevent.JobAccepted,
-	manager.EventRequestRefused:     logevent.JobRefused,
 	manager.EventRunOrdered:         logevent.RunOrdered,
 	manager.EventRunConcluded:       logevent.RunConcluded,
 	manager.EventRunEnded:           logevent.RunEnded,
@@ -75,11 +74,14 @@
 	if e.LastHeard != "" {
 		fields["last_heard_age_ms"] = e.LastHeardAge.Milliseconds()
 	}
-	if e.Kind == manager.EventKeyRefused {
+	switch e.Kind {
+	case manager.EventKeyRefused:
 		l.refusedKeys.log(l.cfg.Log, fields)
-		return
+	case manager.EventRequestRefused:
+		l.refusedJobs.Log(fields)
+	default:
+		l.cfg.Log.Log(logEvents[e.Kind], fields)
 	}
-	l.cfg.Log.Log(logEvents[e.Kind], fields)
 }
 
 // keyLogInterval is the least time between two log lines about refused keys. Callers may
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -48,7 +48,7 @@
 // Events of the leader's decisions on jobs: 1200 to 1299.
 var (
 	JobAccepted        = Event{1200, "job_accepted", logrus.InfoLevel, "job is recorded", "none"}
-	JobRefused         = Event{1201, "job_refused", logrus.InfoLevel, "request refused", "the reason tells the caller what to correct"}
+	JobRefused         = Event{1201, "job_refused", logrus.InfoLevel, "request refused", "the reason tells the caller what to correct" + limitedNote}
 	JobCancelled       = Event{1202, "job_cancelled", logrus.InfoLevel, "job is cancelled", "none"}
 	JobFinished        = Event{1203, "job_finished", logrus.InfoLevel, "job has ended", "reason is its final state, age_ms the time since it was submitted; if a task has used up its attempts, task names it, failures counts its failed runs, max_attempts is the limit and limit_source its source: configuration, removed_queue or default"}
 	RunOrdered         = Event{1204, "run_ordered", logrus.InfoLevel, "start of a task is ordered", "age_ms is the age of the leader's information on the executor"}
@@ -69,7 +69,7 @@
 	HostMoved          = Event{1223, "host_moved", logrus.InfoLevel, "host moves to another pool", "none"}
 	OrderFailed        = Event{1224, "order_failed", logrus.DebugLevel, "order to an executor or the platform had no effect", "the job manager determines the outcome; see the events of the executor"}
 	ReportRefused      = Event{1225, "report_refused", logrus.WarnLevel, "report of an executor is refused", "it names no usable executor; check its sender. number counts the refused ones, of which one in 10 s is logged"}
-	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to correct"}
+	ConfigRefused      = Event{1226, "config_refused", logrus.InfoLevel, "configuration of queues and pools refused", "the error tells the operator what to correct" + limitedNote}
 	ProxyLost          = Event{1227, "helper_lost", logrus.WarnLevel, "proxy replica that makes calls for the leader has failed", "none; other replicas make the calls, and the outcome of its orders is looked up"}
 	HostRefused        = Event{1228, "host_refused", logrus.WarnLevel, "row of the platform's listing of hosts is left out", "the others are used; check its writer. number counts the refused ones, of which one in 10 s is logged"}
 	HostRemoved        = Event{1229, "host_removed", logrus.InfoLevel, "host is taken for removed from the platform", "none. reason is the proof and age_ms the time since its listing began or its order was sent, last_heard the newest evidence of the host and last_heard_age_ms its age, number a wave that goes on without the host"}
@@ -89,11 +89,14 @@
 	EndpointLeft      = Event{1301, "endpoint_left", logrus.InfoLevel, "endpoint is leaving or its lease expired", "none"}
 	EndpointRefused   = Event{1302, "endpoint_refused", logrus.WarnLevel, "announcement refused", "an old epoch means that the host has moved to another pool"}
 	ControlLost       = Event{1303, "control_lost", logrus.WarnLevel, "no control replica can be reached", "check the control replicas; routing continues with the last configuration"}
-	RequestMalformed  = Event{1305, "request_malformed", logrus.InfoLevel, "request cannot be read", "the error tells the caller what to correct"}
-	RequestUnanswered = Event{1306, "request_unanswered", logrus.WarnLevel, "request got no answer from the leader", "with status 503 it had no effect; check for a change of leader"}
+	RequestMalformed  = Event{1305, "request_malformed", logrus.InfoLevel, "request cannot be read", "the error tells the caller what to correct" + limitedNote}
+	RequestUnanswered = Event{1306, "request_unanswered", logrus.WarnLevel, "request got no answer from the leader", "with status 503 it had no effect; check for a change of leader" + limitedNote}
 	ControlConnected  = Event{1304, "control_connected", logrus.InfoLevel, "connected to a control replica", "none"}
 )
 
+// limitedNote ends the action of the events of a Limited.
+const limitedNote = "; after 100 lines at most 5 a second are written, and skipped counts those left out before a line"
+
 // Catalogue lists all events in the order of their IDs.
 func Catalogue() []Event {
 	return []Event{
