intake: errors of HTTP servers go to the structured log

Callers saw: clients that ended in the middle of TLS handshakes filled the log with lines that are not JSON.

Cause: net/http writes a line for each failed handshake, and the servers had no logger, so it wrote them to standard error.

Failed handshakes are counted as refusals with the reason tls_handshake_failed, of which one line in 10 s is written. Other errors are server_error (1011), written at a bounded rate; the stack of a panic is kept whole.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -40,11 +40,13 @@
 	BodyStalled     Reason = "body_stalled"
 	BodyNoRoom      Reason = "body_no_room"
 	EncodedBody     Reason = "encoded_body"
+	// FailedHandshake is a connection that ended in the middle of a TLS handshake.
+	FailedHandshake Reason = "tls_handshake_failed"
 	UnreadAnswer    Reason = "unread_answer"
 )
 
 var reasons = []Reason{
-	TooManyConns, EvictedConn, IncompleteHead, TooManyFields, TooManyRequests, BodyTooLarge, BodyStalled, BodyNoRoom, EncodedBody, UnreadAnswer,
+	TooManyConns, EvictedConn, IncompleteHead, TooManyFields, TooManyRequests, BodyTooLarge, BodyStalled, BodyNoRoom, EncodedBody, UnreadAnswer, FailedHandshake,
 }
 
 const (
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -74,7 +74,7 @@
 			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: h2FrameBytes,
 			MaxReceiveBufferPerConnection: h2Buffer, MaxReceiveBufferPerStream: h2Buffer,
 		},
-		ConnState: g.connState,
+		ConnState: g.connState, ErrorLog: g.newServerLog(),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, trackedConn(c))
 		},
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -295,6 +296,32 @@
 	require.Error(t, err, "the rest of the answer is discarded")
 }
 
+// Guards against errors of HTTP servers that are lost or fill the log, and against the stack
+// of a panic that is cut.
+func TestServerLog(t *testing.T) {
+	const handshakes, repeated = 1000, 1000
+	var out bytes.Buffer
+	log, err := logevent.New(&out, "info", "r", "p")
+	require.NoError(t, err)
+	g := newGuard(t, 0)
+	g.log = log
+	l := g.newServerLog()
+	for i := range handshakes {
+		l.Printf("http: TLS handshake error from 127.0.0.1:%d: EOF", i)
+	}
+	require.EqualValues(t, handshakes, g.count(FailedHandshake))
+	require.Equal(t, 1, strings.Count(out.String(), "tls_handshake_failed"))
+	stack := strings.Repeat("frame", repeated)
+	l.Print("http: panic serving 127.0.0.1:1: oops\n" + stack)
+	require.Contains(t, out.String(), stack)
+	out.Reset()
+	for range repeated {
+		l.Print("http: Accept error: too many open files; retrying in 5ms")
+	}
+	require.Contains(t, out.String(), "Accept error")
+	require.Less(t, strings.Count(out.String(), "\n"), repeated)
+}
+
 // Guards against limits that cut streams between processes of the system, which may be silent
 // for longer than any body.
 func TestStreamIsKept(t *testing.T) {
--- a/internal/logevent/catalogue.go
+++ b/internal/logevent/catalogue.go
@@ -12,6 +12,7 @@
 	LinesDropped     = Event{1008, "lines_dropped", logrus.WarnLevel, "log lines were dropped because the reader is too slow", "check the process that reads the standard output; number is the count of lines"}
 	SettingsReloaded = Event{1006, "settings_reloaded", logrus.InfoLevel, "settings file was reloaded", "the new seeds are in use; other keys need a restart"}
 	SettingsRefused  = Event{1007, "settings_refused", logrus.WarnLevel, "new settings are invalid, the previous ones stay in use", "correct the file; the problem field names the key"}
+	ServerError      = Event{1011, "server_error", logrus.WarnLevel, "an HTTP server reports an error", "a panic is a fault of the program, please report it" + limitedNote}
 	ClientRefused    = Event{1010, "client_refused", logrus.WarnLevel, "client is refused, or its connection closed, to stay within the limits for clients", "reason names the limit, see \"Limits for clients\" in operators.md; number counts the refusals with this reason, of which one in 10 s is logged"}
 	QueueFull        = Event{1005, "queue_full", logrus.WarnLevel, "event queue is full, the sender was refused", "check for a slow disk or too much load"}
 )
@@ -100,7 +101,7 @@
 // Catalogue lists all events in the order of their IDs.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull, SettingsReloaded, SettingsRefused, LinesDropped, ClientRefused,
+		ProcessStarted, ProcessReady, ProcessStopping, ProcessStopped, ProcessFailed, QueueFull, SettingsReloaded, SettingsRefused, LinesDropped, ClientRefused, ServerError,
 		LeaderChanged, ChangeAccepted, ChangeRefused, PlatformFailed, WatcherTooSlow, StepProposed,
 		PeerUnreachable, LeadershipBegan, LeadershipEnded, DiskSlow, StorageOpened, TornRecordCut, StorageFailed, SnapshotInstalled, SnapshotNotSent, PeerRefused,
 		MemberChanged, MemberNotChanged, JoinNotAsked, ReplicaRemoved, MemberChangeWaits, StorageRecovered, SnapshotNotWritten,
