intake: a client that reads a large answer slowly makes progress

Callers saw: the connection of a client that read a configuration of 262,144 bytes at 11 KB/s was closed after 15 s, in the middle of the answer. While room was needed, one that read at the speed of its link counted as a client that does not read after a second.

Cause: the time since the last progress was that since the call of Write began, and a large answer is one call.

Evidence: TestSlowReaderGetsWholeAnswer, closed after 184,320 bytes before, whole after. TestCrowds, unread-answers, holds: dock-jobs 58 MB and 2 MB unread, the others at most 42 MB together, bound 96 MB.

Answers are written in pieces of 16 KB, and each piece has the answer timeout. A client that reads less in that time is still closed.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -85,7 +85,7 @@
 	// state is the http.ConnState, and stateSince when it or the number of requests changed.
 	state      atomic.Int32
 	stateSince atomic.Int64
-	// writingSince is when the present call of Write began, or 0.
+	// writingSince is when the present piece of a call of Write began, or 0.
 	writingSince atomic.Int64
 	// serving is the number of requests being handled. Of these, streaming ones are streams.
 	// receiving is the number of those whose body is being received, and bodyProgress when
@@ -123,12 +123,22 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// pieceBytes is what a client must read of an answer to count as making progress.
+const pieceBytes = 16 << 10
+
+// Write implements net.Conn. It writes in pieces, so that a client which reads a large answer
+// slowly is not taken for one that does not read.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writingSince.Store(max(c.guard.now(), 1))
-	n, err := c.Conn.Write(p)
-	c.writingSince.Store(0)
-	return n, err
+	defer c.writingSince.Store(0)
+	written := 0
+	for {
+		c.writingSince.Store(max(c.guard.now(), 1))
+		n, err := c.Conn.Write(p[written:min(len(p), written+pieceBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // Close implements net.Conn.
--- a/internal/settings/intake.go
+++ b/internal/settings/intake.go
@@ -35,7 +35,7 @@
 		HeaderTimeout:   s.Duration(section, "header-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "longest time for the header section of a request"),
 		IdleTimeout:     s.Duration(section, "idle-timeout", 2*time.Minute, time.Second, time.Hour, "time after which an idle connection is closed"),
 		BodyTimeout:     s.Duration(section, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "longest time in which a client sends less than 4 KB of a body"),
-		AnswerTimeout:   s.Duration(section, "answer-timeout", 15*time.Second, 100*time.Millisecond, 10*time.Minute, "longest time for which a client reads nothing of an answer"),
+		AnswerTimeout:   s.Duration(section, "answer-timeout", 15*time.Second, 100*time.Millisecond, 10*time.Minute, "longest time in which a client reads less than 16 KB of an answer"),
 		RoomWait:        s.Duration(section, "room-wait", 2*time.Second, 10*time.Millisecond, time.Minute, "longest time for which a request waits for client-memory"),
 		StallGrace:      s.Duration(section, "stall-grace", time.Second, 10*time.Millisecond, time.Minute, "time without progress after which a connection may be closed to make room"),
 	}
