intake: receive the body of a GET request before it is passed on

Callers saw: executors and operators got no connection to dock-cell any more while clients had asked for the configuration with a body of one byte that never came.

Cause: the handler does not read the body. Then net/http reads it before it writes an answer of more than 2 KB, without a time limit, in the call of the handler. Such a request counts as passed on, and its connection is never closed to make room.

The body of a GET or HEAD request is received within the limits for bodies before the handler is called, so a client that does not send it is closed like any other, and is told 408.

--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -1,8 +1,10 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -135,9 +137,31 @@
 	b := &body{ReadCloser: r.Body, guard: h.guard, conn: c, writer: w, request: r, limit: h.port.MaxBody, stream: stream, port: h.number}
 	r.Body = b
 	defer b.done()
+	if (r.Method == http.MethodGet || r.Method == http.MethodHead) && !h.receive(w, r) {
+		return
+	}
 	h.port.Handler.ServeHTTP(w, r)
 }
 
+// receive reads the body of a request whose handler may not read it, and reports whether it
+// came. Otherwise net/http would read it before the answer, for as long as the client takes,
+// while the request counts as passed on.
+func (h *handler) receive(w http.ResponseWriter, r *http.Request) bool {
+	data, err := ReadBody(r, h.port.MaxBody)
+	if refusal, ok := errors.AsType[*Refusal](err); ok {
+		refusal.SetHeaders(w, r)
+		http.Error(w, refusal.Error(), refusal.Status())
+		return false
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the body is not complete", http.StatusBadRequest)
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return true
+}
+
 func (h *handler) refuse(w http.ResponseWriter, r *http.Request, refusal *Refusal) {
 	h.guard.refuse(refusal.Reason, r.RemoteAddr)
 	refusal.SetHeaders(w, r)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -296,6 +296,31 @@
 	require.Error(t, err, "the rest of the answer is discarded")
 }
 
+// Guards against a request that is never done because its handler does not read its body and
+// the client does not send it.
+func TestBodyThatIsNotRead(t *testing.T) {
+	const answerBytes = 64 << 10
+	g := newGuard(t, 0, "body-timeout = 300ms")
+	address := serve(t, g, Port{MaxBody: testMaxBody, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, answerBytes))
+	})})
+	for _, header := range []string{length(5), "Transfer-Encoding: chunked"} {
+		c := dial(t, address)
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n" + header + "\r\n\r\n")
+		status, _, _ := c.answer()
+		require.Equal(t, http.StatusRequestTimeout, status)
+		c.requireClosed()
+	}
+	// A request whose body comes is served, and so is the next one on its connection.
+	c := dial(t, address)
+	for range 2 {
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n" + length(5) + "\r\n\r\nxxxxx")
+		status, _, body := c.answer()
+		require.Equal(t, http.StatusOK, status)
+		require.Len(t, body, answerBytes)
+	}
+}
+
 // Guards against errors of HTTP servers that are lost or fill the log, and against the stack
 // of a panic that is cut.
 func TestServerLog(t *testing.T) {
