intake: the rest of a body that nobody needs has a time limit

Callers saw: a client that stopped in the middle of a body got no answer although the handler had answered without reading it, and its connection stayed open for as long as nobody needed room.

Cause: net/http reads the rest of a body before it sends a short answer, and no deadline was set for that.

When the handler is done, the connection gets the body timeout as its read deadline; net/http clears it before the next request.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -185,8 +185,12 @@
 	return b.refusal
 }
 
-// done returns what the body holds.
+// done returns what the body holds. net/http reads the rest of a body before it answers; the
+// client has the time of a body without progress for that.
 func (b *body) done() {
+	if b.request.ProtoMajor == 1 && b.state.Load() != received {
+		_ = http.NewResponseController(b.writer).SetReadDeadline(time.Now().Add(*b.guard.settings.BodyTimeout))
+	}
 	if b.small.Bytes == 0 && b.large.Bytes == 0 {
 		return
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -321,6 +321,18 @@
 	}
 }
 
+// Guards against an answer and a connection that wait for good for the rest of a body which
+// nobody needs.
+func TestRestOfBodyHasTimeLimit(t *testing.T) {
+	g := newGuard(t, 0, "body-timeout = 300ms")
+	address := serve(t, g, Port{MaxBody: testMaxBody, Handler: http.NotFoundHandler()})
+	c := dial(t, address)
+	c.send(post(length(5)) + "x")
+	status, _, _ := c.answer()
+	require.Equal(t, http.StatusNotFound, status)
+	c.requireClosed()
+}
+
 // Guards against errors of HTTP servers that are lost or fill the log, and against the stack
 // of a panic that is cut.
 func TestServerLog(t *testing.T) {
