intake: read no more of an HTTP/2 connection whose client does not read

Callers saw: a process took more memory than its host has when clients began many requests of HTTP/2, or sent many pings, and read no answer.

Cause: the HTTP/2 server reads on and queues up to 10,000 answers of a connection, and the handlers of refused requests wait with their heads until the refusal is written.

TestUnreadFramesAreNotAnswered: a client that sends 100,000 pings was closed after 10,000; now it cannot send more until it reads.

A read of a connection of HTTP/2 or TLS waits for the end of the present write. The clients of the system read while they write, so neither side waits for the other.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -85,6 +85,8 @@
 	// state is the http.ConnState, and stateSince when it or the number of requests changed.
 	state      atomic.Int32
 	stateSince atomic.Int64
+	// writeMu is held during a call of Write.
+	writeMu sync.Mutex
 	// writingSince is when the present piece of a call of Write began, or 0.
 	writingSince atomic.Int64
 	// serving is the number of requests being handled. Of these, streaming ones are streams.
@@ -113,8 +115,12 @@
 
 var errTooManyFields = errors.New("too many header fields")
 
-// Read implements net.Conn.
+// Read implements net.Conn. Nothing more is read of an HTTP/2 connection while its client does
+// not read: the server would answer each frame, and keep the answers.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.head.binary {
+		c.awaitWrite()
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.serving.Load() == 0 && c.head.add(p[:n]) > *c.guard.settings.MaxHeaderFields {
 		c.guard.evict(c, TooManyFields)
@@ -123,12 +129,20 @@
 	return n, err
 }
 
+// awaitWrite waits for the end of the present call of Write.
+func (c *conn) awaitWrite() {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+}
+
 // pieceBytes is what a client must read of an answer to count as making progress.
 const pieceBytes = 16 << 10
 
 // Write implements net.Conn. It writes in pieces, so that a client which reads a large answer
 // slowly is not taken for one that does not read.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	defer c.writingSince.Store(0)
 	written := 0
 	for {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -333,6 +334,29 @@
 	c.requireClosed()
 }
 
+// Guards against frames that are read and answered while the client does not read the answers,
+// which are kept.
+func TestUnreadFramesAreNotAnswered(t *testing.T) {
+	const ping, pings = "\x00\x00\x08\x06\x00\x00\x00\x00\x0012345678", 100_000
+	g := newGuard(t, 0, "answer-timeout = 10m")
+	address := serve(t, g, Port{MaxBody: testMaxBody, PlainHTTP2: true, Handler: http.NotFoundHandler()})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	require.NoError(t, c.(*net.TCPConn).SetWriteBuffer(4<<10))
+	_, err = io.WriteString(c, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+	require.NoError(t, err)
+	// The server reads no more, so the client cannot write all.
+	require.NoError(t, c.SetWriteDeadline(time.Now().Add(time.Second)))
+	written, err := io.WriteString(c, strings.Repeat(ping, pings))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	// It goes on when the client reads. The answer to a ping has its size.
+	require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	n, err := io.CopyN(io.Discard, c, int64(written/len(ping)*len(ping)))
+	require.NoError(t, err, "after %d bytes", n)
+}
+
 // Guards against errors of HTTP servers that are lost or fill the log, and against the stack
 // of a panic that is cut.
 func TestServerLog(t *testing.T) {
