api: encode lists one element at a time

Callers saw: dock-control took more memory than its host has when clients asked for a list of 1200 pools and did not read it.

Cause: the whole list was encoded for each client before the first byte was written, and held until the client had read it. A page of the audit trail, of up to 10,000 entries, was held alike.

A ListWriter writes elements as it encodes them, in the form as before (TestListWriterHasFormOfWriteJSON); an empty list is [] and no longer null.

--- a/internal/api/audit.go
+++ b/internal/api/audit.go
@@ -33,8 +33,9 @@
 		return
 	}
 	if snap := a.readSnapshot(w, r); snap != nil {
-		entries, more := snap.AuditAfter(q)
-		answer.WriteJSON(w, http.StatusOK, AuditPage{Version: snap.Version, Entries: entries, More: more})
+		list := answer.NewListWriter(w, snap.Version, "entries")
+		more := snap.VisitAudit(q, func(e state.AuditEntry) bool { return list.Add(e) })
+		list.CloseWith("more", more)
 	}
 }
 
--- a/internal/api/resources.go
+++ b/internal/api/resources.go
@@ -11,13 +11,6 @@
 	"laburnumdock/internal/logevent"
 )
 
-// ListResponse is the response to a list request. A watch from Version continues
-// the list without a gap.
-type ListResponse struct {
-	Version uint64         `json:"version"`
-	Items   []model.Object `json:"items"`
-}
-
 // ChangeResponse is the response to a change that succeeded.
 type ChangeResponse struct {
 	// Version is the version of the resource after the change, or the version
@@ -33,6 +26,8 @@
 	Object model.Object `json:"object,omitempty"`
 }
 
+// list answers with the resources of a kind in the field items. A watch from the version of
+// the answer continues the list without a gap.
 func (a *api) list(w http.ResponseWriter, r *http.Request) {
 	key, fail := resourceKey(r)
 	if fail != nil {
@@ -40,7 +35,13 @@
 		return
 	}
 	if snap := a.readSnapshot(w, r); snap != nil {
-		answer.WriteJSON(w, http.StatusOK, ListResponse{Version: snap.Version, Items: snap.List(key.Kind)})
+		list := answer.NewListWriter(w, snap.Version, "items")
+		for obj := range snap.All(key.Kind) {
+			if !list.Add(obj) {
+				return
+			}
+		}
+		list.Close()
 	}
 }
 
--- a/internal/core/state/audit.go
+++ b/internal/core/state/audit.go
@@ -71,20 +71,24 @@
 	Limit int
 }
 
-// AuditAfter returns the entries that q selects, oldest first. more reports
-// whether entries were left out because of Limit.
-func (s *Snapshot) AuditAfter(q AuditQuery) (entries []AuditEntry, more bool) {
+// VisitAudit passes the entries that q selects to visit, oldest first, until visit returns
+// false. more reports whether entries were left out because of Limit.
+func (s *Snapshot) VisitAudit(q AuditQuery, visit func(AuditEntry) bool) (more bool) {
 	start := sort.Search(len(s.audit), func(i int) bool { return s.audit[i].Version > q.Since })
+	n, last := 0, uint64(0)
 	for _, e := range s.audit[start:] {
 		if q.Kind != "" && e.Kind != q.Kind || q.Name != "" && e.Name != q.Name {
 			continue
 		}
-		// All entries of a version are returned together, so that the next query
-		// can continue after the version of the last entry.
-		if len(entries) >= q.Limit && e.Version != entries[len(entries)-1].Version {
-			return entries, true
+		// All entries of a version are passed together, so that the next query can continue
+		// after the version of the last entry.
+		if n >= q.Limit && e.Version != last {
+			return true
+		}
+		n, last = n+1, e.Version
+		if !visit(e) {
+			return false
 		}
-		entries = append(entries, e)
 	}
-	return entries, false
+	return false
 }
--- a/internal/core/state/snapshot.go
+++ b/internal/core/state/snapshot.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"iter"
+	"slices"
 	"sort"
 	"time"
 
@@ -58,12 +60,16 @@
 	if tree == nil {
 		return nil
 	}
-	list := make([]model.Object, 0, tree.Len())
-	tree.Scan(func(_ string, obj model.Object) bool {
-		list = append(list, obj)
-		return true
-	})
-	return list
+	return slices.AppendSeq(make([]model.Object, 0, tree.Len()), s.All(kind))
+}
+
+// All returns the same resources one at a time.
+func (s *Snapshot) All(kind model.Kind) iter.Seq[model.Object] {
+	return func(yield func(model.Object) bool) {
+		if tree := s.objectsByKind[kind]; tree != nil {
+			tree.Scan(func(_ string, obj model.Object) bool { return yield(obj) })
+		}
+	}
 }
 
 // EventsAfter returns the events after version, oldest first. It returns a
--- a/internal/core/state/state_test.go
+++ b/internal/core/state/state_test.go
@@ -384,6 +384,14 @@
 	require.LessOrEqual(t, len(f.audit), MaxAudit+auditTrimSlack)
 }
 
+func auditPage(s *Snapshot, q AuditQuery) (entries []AuditEntry, more bool) {
+	more = s.VisitAudit(q, func(e AuditEntry) bool {
+		entries = append(entries, e)
+		return true
+	})
+	return entries, more
+}
+
 // Guards against audit pages that omit entries of a version.
 func TestAuditPagesKeepVersionsWhole(t *testing.T) {
 	f := newFixture()
@@ -392,10 +400,10 @@
 		f.recordAudit(f.origin(), "x", model.Key{Kind: model.KindHost, Name: "h"}, 1, 2, nil)
 		f.recordAudit(f.origin(), "y", model.Key{Kind: model.KindHost, Name: "h"}, 1, 2, nil)
 	}
-	page, more := f.Snapshot().AuditAfter(AuditQuery{Limit: 1})
+	page, more := auditPage(f.Snapshot(), AuditQuery{Limit: 1})
 	require.Len(t, page, 2)
 	require.True(t, more)
-	rest, more := f.Snapshot().AuditAfter(AuditQuery{Since: page[1].Version, Limit: 10})
+	rest, more := auditPage(f.Snapshot(), AuditQuery{Since: page[1].Version, Limit: 10})
 	require.Len(t, rest, 4)
 	require.False(t, more)
 }
