api: watches leave connections to other requests

Callers saw: operators got no connection to dock-control any more while clients held a watch on each.

Cause: a watch counts as a request that has been passed on and is not closed, and its limit of 1024 is more than the connections of a process.

Evidence: TestCrowdsOfStreams/watches: no ordinary request was answered within 60 s before; answered after, within the 3.2 s of the test.

At most a quarter of the connections may be watches.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(LINT) run ./...
 
 # Tests of KNOWN-RED.txt that CI passes over.
-CROWD_RED := TestCrowdsOfStreams/^(watches)$$|TestSteadyCrowds/^(whole)$$
+CROWD_RED := TestSteadyCrowds/^(whole)$$
 KNOWN_RED := TestRandomCrashDays/^(28|44)$$|TestRackLocalGangAfterLossOfExecutor/^4$$|TestJobLargerThanShareOfSmallTenant|TestEstimatesThatAreRight|$(CROWD_RED)
 
 unit:
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -84,7 +84,7 @@
 const (
 	DefaultMaxBodyBytes     = 1 << 20
 	defaultBodyTimeout      = 10 * time.Second
-	defaultMaxWatchers      = 1024
+	DefaultMaxWatchers      = 1024
 	defaultBatchEvents      = 512
 	defaultWriteTimeout     = 5 * time.Second
 	defaultProgressInterval = 5 * time.Second
@@ -100,7 +100,7 @@
 		c.Log = logevent.Discard()
 	}
 	w := &c.Watch
-	w.MaxWatchers = orDefault(w.MaxWatchers, defaultMaxWatchers)
+	w.MaxWatchers = orDefault(w.MaxWatchers, DefaultMaxWatchers)
 	w.BatchEvents = orDefault(w.BatchEvents, defaultBatchEvents)
 	w.WriteTimeout = orDefault(w.WriteTimeout, defaultWriteTimeout)
 	w.ProgressInterval = orDefault(w.ProgressInterval, defaultProgressInterval)
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -125,6 +125,13 @@
 	return g
 }
 
+// streamShare is the divisor of the connections that requests without an end may use.
+const streamShare = 4
+
+// MaxStreams returns the largest number of requests without an end, such as watches. They
+// cannot be closed to make room for others.
+func (g *Guard) MaxStreams() int { return max(g.limits.Conns/streamShare, 1) }
+
 // registerGauge registers a gauge whose function is called with the mutex held.
 func (g *Guard) registerGauge(registry metrics.Registry, name string, value func() int64) {
 	_ = registry.Register(name, metrics.NewFunctionalGauge(func() int64 {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -46,11 +46,14 @@
 		return err
 	}
 	fleetController := newController(s, replica, log, registry)
-	operators, err := operatorsHandler(ctx, s, replica, fleetController, log, registry)
+	// The listeners are those for operators and for other processes.
+	const listeners = 2
+	guard := intake.NewGuard(s.Intake, *s.MemoryMB, listeners, registry, log)
+	operators, err := operatorsHandler(ctx, s, replica, fleetController, guard, log, registry)
 	if err != nil {
 		return err
 	}
-	return serveReplica(ctx, s, replica, operators, fleetController, log, registry)
+	return serveReplica(ctx, s, replica, operators, fleetController, guard, log)
 }
 
 // newController returns the controller of the replica, or nil if the settings
@@ -66,7 +69,7 @@
 
 // serveReplica runs the replica and its listeners. The listeners stay open until
 // the replica has transferred its leadership.
-func serveReplica(ctx context.Context, s *settings.Control, replica *control.Replica, operators http.Handler, fleetController *controller.Controller, log *logevent.Logger, registry metrics.Registry) error {
+func serveReplica(ctx context.Context, s *settings.Control, replica *control.Replica, operators http.Handler, fleetController *controller.Controller, guard *intake.Guard, log *logevent.Logger) error {
 	peers := http.NewServeMux()
 	peers.Handle(replica.RaftHandler())
 	service := &control.Service{Replica: replica}
@@ -81,7 +84,6 @@
 		{s.API, intake.Port{Handler: operators, MaxBody: int64(*s.MaxBodyBytes), PlainHTTP2: true}},
 		{s.Peer, intake.Port{Handler: peers, MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Streams: true}},
 	}
-	guard := intake.NewGuard(s.Intake, *s.MemoryMB, len(listeners), registry, log)
 	if err := listenAll(group, serving, guard, listeners); err != nil {
 		return err
 	}
@@ -105,10 +107,11 @@
 	return run(running)
 }
 
-func operatorsHandler(ctx context.Context, s *settings.Control, replica *control.Replica, fleetController *controller.Controller, log *logevent.Logger, registry metrics.Registry) (http.Handler, error) {
+func operatorsHandler(ctx context.Context, s *settings.Control, replica *control.Replica, fleetController *controller.Controller, guard *intake.Guard, log *logevent.Logger, registry metrics.Registry) (http.Handler, error) {
 	cfg := api.Config{
 		Backend: replica, MaxBodyBytes: int64(*s.MaxBodyBytes), Loopback: api.IsLoopback(*s.API.Address),
 		Cluster: clusterAdapter{replica}, Log: log, Stopping: ctx.Done(),
+		Watch: api.WatchLimits{MaxWatchers: min(api.DefaultMaxWatchers, guard.MaxStreams())},
 	}
 	if fleetController != nil {
 		cfg.Explainer = fleetController
