intake: HTTP/2 connections take room for their heads before the first frame

Callers saw: dock-jobs took more memory than its host of 184 MB has when 1200 clients began requests of HTTP/2 on its port for other processes. The tests with 480 clients and 96 MB did not show it.

Cause: the HTTP/2 server decodes the heads of up to 128 requests of each connection before a handler can refuse them, and room for a connection was taken only by its first handler, for the flow-control window alone.

A connection takes 512 KB before its first frame is read: its window and 32 heads of 8 KB, the new limits for concurrent requests and for heads between processes.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -45,6 +45,8 @@
 	// that no client causes, such as those of a leader to 350 executors. Of the others, every
 	// second one is for the call that a client's request may cause.
 	descriptorShare = 4
+	// connsShare is the divisor for what HTTP/2 connections may use.
+	connsShare = 2
 	// guaranteedShare is the divisor for what all listeners together are guaranteed.
 	guaranteedShare = 2
 	// unlimitedBytes and unlimitedConns apply to a process without a memory limit. Its
@@ -75,18 +77,16 @@
 	return Limits{Bytes: bytes, Reserved: bytes / reservedShare, Conns: conns, ReservedConns: conns / reservedConnShare, Ports: ports, Grace: grace, BodyRate: bodyRate}
 }
 
-// guaranteed returns what each listener is guaranteed of the room for large bodies, and lent
-// what all of them share.
-func (l Limits) guaranteed() (guaranteed, lent int64) {
-	room := l.Bytes - l.Reserved
-	ports := int64(max(l.Ports, 1))
-	guaranteed = room / guaranteedShare / ports
-	return guaranteed, room - guaranteed*ports
+// guaranteedOf returns what each of the listeners is guaranteed of a room, and lent what all of
+// them share.
+func guaranteedOf(room int64, ports int) (guaranteed, lent int64) {
+	guaranteed = room / guaranteedShare / int64(ports)
+	return guaranteed, room - guaranteed*int64(ports)
 }
 
 // LargeRoom returns what the large bodies of one listener may use at most.
 func (l Limits) LargeRoom() int64 {
-	guaranteed, lent := l.guaranteed()
+	guaranteed, lent := guaranteedOf(l.Bytes-l.Reserved, max(l.Ports, 1))
 	return guaranteed + lent
 }
 
@@ -108,6 +108,34 @@
 	Port int
 	// Small is set for requests of ordinary size, which may use the reserved part.
 	Small bool
+	// Conn is set for the room of an HTTP/2 connection.
+	Conn bool
+}
+
+// group is the part of the room for which requests wait together: that for small bodies of all
+// listeners, or that of one listener for large bodies or for HTTP/2 connections.
+type group struct {
+	kind groupKind
+	port int
+}
+
+type groupKind uint8
+
+const (
+	smallGroup groupKind = iota
+	largeGroup
+	connGroup
+)
+
+func (r Request) group() group {
+	switch {
+	case r.Conn:
+		return group{connGroup, r.Port}
+	case r.Small:
+		return group{kind: smallGroup}
+	default:
+		return group{largeGroup, r.Port}
+	}
 }
 
 // Account is the memory in use. Requests that get no room wait in the order of arrival on
@@ -117,10 +145,11 @@
 // free serves shorter ones, which pass them.
 type Account struct {
 	limits Limits
-	// used includes the requests with large bodies, of which large holds the sum for each
-	// listener.
+	// used includes the requests with large bodies and the HTTP/2 connections, of which large
+	// and conns hold the sums for each listener.
 	used    int64
 	large   []int64
+	conns   []int64
 	waiting []Request
 	// holdings are the bodies with more than one request, by Request.Holder.
 	holdings map[uint64]holding
@@ -134,7 +163,8 @@
 
 // NewAccount returns an account with nothing in use.
 func NewAccount(limits Limits) *Account {
-	return &Account{limits: limits, large: make([]int64, max(limits.Ports, 1)), holdings: map[uint64]holding{}}
+	ports := max(limits.Ports, 1)
+	return &Account{limits: limits, large: make([]int64, ports), conns: make([]int64, ports), holdings: map[uint64]holding{}}
 }
 
 // Used returns the bytes in use.
@@ -157,9 +187,7 @@
 // isOvertaking reports whether a request that would be served first already waits. Parts of
 // bodies may be overtaken.
 func (a *Account) isOvertaking(r Request) bool {
-	return slices.ContainsFunc(a.waiting, func(w Request) bool {
-		return w.Small && r.Small || !w.Small && !r.Small && w.Port == r.Port && w.Holder == 0
-	})
+	return slices.ContainsFunc(a.waiting, func(w Request) bool { return w.group() == r.group() && w.Holder == 0 })
 }
 
 // fits reports whether there is room for a request. One that exceeds the budget by itself,
@@ -172,22 +200,30 @@
 		allLarge += bytes
 	}
 	isWithin := a.used-max(0, allLarge-room)+r.Bytes <= a.limits.Bytes
-	if r.Small {
+	switch {
+	case r.Conn:
+		return isWithin && r.Bytes <= freeOf(a.limits.Bytes/connsShare, a.conns, r.Port)
+	case r.Small:
 		return isWithin
-	}
-	if allLarge == 0 {
+	case allLarge == 0:
 		return true
+	default:
+		return isWithin && r.Bytes <= a.free(r.Port) && a.isSafe(r)
 	}
-	return isWithin && r.Bytes <= a.free(r.Port) && a.isSafe(r)
 }
 
 // free returns what the large bodies of a listener may still take.
 func (a *Account) free(port int) int64 {
-	guaranteed, lent := a.limits.guaranteed()
-	for _, bytes := range a.large {
+	return freeOf(a.limits.Bytes-a.limits.Reserved, a.large, port)
+}
+
+// freeOf returns what a listener may still take of a room in which each listener uses a part.
+func freeOf(room int64, used []int64, port int) int64 {
+	guaranteed, lent := guaranteedOf(room, len(used))
+	for _, bytes := range used {
 		lent -= max(0, bytes-guaranteed)
 	}
-	return max(0, guaranteed-a.large[port]) + max(0, lent)
+	return max(0, guaranteed-used[port]) + max(0, lent)
 }
 
 // isSafe reports whether, after a request, all bodies of its listener can get what they will
@@ -215,10 +251,13 @@
 
 func (a *Account) take(r Request) {
 	a.used += r.Bytes
-	if r.Small {
-		return
+	switch r.group().kind {
+	case connGroup:
+		a.conns[r.Port] += r.Bytes
+	case largeGroup:
+		a.large[r.Port] += r.Bytes
+	default:
 	}
-	a.large[r.Port] += r.Bytes
 	if r.Holder != 0 {
 		a.holdings[r.Holder] = holding{port: r.Port, bytes: a.holdings[r.Holder].bytes + r.Bytes, remaining: r.Remaining}
 	}
@@ -228,9 +267,13 @@
 // waiting requests that get room now.
 func (a *Account) Release(r Request) []uint64 {
 	a.used -= r.Bytes
-	if !r.Small {
+	switch r.group().kind {
+	case connGroup:
+		a.conns[r.Port] -= r.Bytes
+	case largeGroup:
 		a.large[r.Port] -= r.Bytes
 		delete(a.holdings, r.Holder)
+	default:
 	}
 	return a.grant()
 }
@@ -247,20 +290,20 @@
 }
 
 func (a *Account) grant() []uint64 {
-	granted := a.grantWaiting(func(r Request) bool { return r.Small })
+	granted := a.grantWaiting(group{kind: smallGroup})
 	for port := range a.large {
-		granted = append(granted, a.grantWaiting(func(r Request) bool { return !r.Small && r.Port == port })...)
+		granted = append(granted, a.grantWaiting(group{connGroup, port})...)
+		granted = append(granted, a.grantWaiting(group{largeGroup, port})...)
 	}
 	return granted
 }
 
-// grantWaiting gives room to those of the waiting requests that belong to one group, in the
-// order of arrival. A part of a body that gets none does not keep others from theirs.
-func (a *Account) grantWaiting(belongs func(Request) bool) []uint64 {
+// grantWaiting gives room to the waiting requests of one group, in the order of arrival. A part of a body that gets none does not keep others from theirs.
+func (a *Account) grantWaiting(g group) []uint64 {
 	var granted []uint64
 	isBlocked := false
 	a.waiting = slices.DeleteFunc(a.waiting, func(r Request) bool {
-		if isBlocked || !belongs(r) {
+		if isBlocked || r.group() != g {
 			return false
 		}
 		if !a.fits(r) {
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -200,6 +200,25 @@
 	require.False(t, a.Ask(Request{ID: 102, Holder: 1, Bytes: 100, Remaining: 400}), "a body that is longer than it seemed")
 }
 
+// Guards against HTTP/2 connections that take the room of bodies, or that of the connections
+// of another listener.
+func TestConnectionsHaveTheirOwnRoom(t *testing.T) {
+	limits := testLimits
+	limits.Ports = 2
+	a := NewAccount(limits)
+	conns := 0
+	for id := range uint64(20) {
+		if a.Ask(Request{ID: id, Bytes: 5, Conn: true}) {
+			conns++
+		}
+	}
+	require.Equal(t, 7, conns, "half of the room, but for what the other listener is guaranteed")
+	require.True(t, a.Ask(Request{ID: 30, Bytes: 5, Port: 1, Conn: true}))
+	require.True(t, a.Ask(Request{ID: 31, Bytes: 300}), "a snapshot is admitted beside them")
+	require.Empty(t, a.Release(Request{Bytes: 300}))
+	require.Equal(t, []uint64{7}, a.Release(Request{Bytes: 5, Conn: true}))
+}
+
 // Guards against slow bodies that are never closed, and against closing one that comes at an
 // ordinary rate or has just begun.
 func TestSlowBodiesAreClosedAfterStalledOnes(t *testing.T) {
--- a/internal/crowd/doc_test.go
+++ b/internal/crowd/doc_test.go
@@ -32,6 +32,10 @@
 // more than the process has descriptors for.
 var crowdSize = fromEnvironment("CROWD_SIZE", 480)
 
+// ordinaryRequests is the number of ordinary requests that are sent while a crowd stands, to
+// see how many are answered. No check depends on it.
+var ordinaryRequests = fromEnvironment("CROWD_REQUESTS", 0)
+
 func fromEnvironment(name string, value int) int {
 	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return n
@@ -51,6 +55,8 @@
 	standTime = time.Second
 	// waitTimeout bounds waits on a busy machine. No check depends on its value.
 	waitTimeout = 60 * time.Second
+	// ordinaryInterval is the time between two of the ordinary requests that are counted.
+	ordinaryInterval = 250 * time.Millisecond
 	// configBytes is the size of the largest configuration inside the platform's limits.
 	configBytes = 262_144
 )
--- a/internal/crowd/protocol_test.go
+++ b/internal/crowd/protocol_test.go
@@ -61,8 +61,24 @@
 	// resetHeadBytes the size of their heads.
 	resetStreams   = 500
 	resetHeadBytes = 12 << 10
+	// peerHeadBytes is the size of a head that listeners for other processes accept.
+	peerHeadBytes = 7 << 10
 )
 
+// sendHeads begins requests of HTTP/2 with large heads, and sends none of their bodies.
+func sendHeads(w io.Writer, p port, headBytes int) error {
+	if err := sendAll(w, http2Preface, http2Frame(frameSettings, 0, 0, "")); err != nil {
+		return err
+	}
+	head := http2Head(p, headBytes)
+	for i := range uint32(resetStreams) {
+		if err := sendAll(w, http2Frame(frameHeaders, endHeaders, 2*i+1, head)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // protocolKinds returns the crowds that use the protocols in unusual ways.
 func protocolKinds() []kind {
 	smallReadBuffer := func(conn *net.TCPConn) error {
@@ -97,18 +113,8 @@
 			}
 			return nil
 		}},
-		{name: "http2-heads", send: func(w io.Writer, p port, _ int) error {
-			if err := sendAll(w, http2Preface, http2Frame(frameSettings, 0, 0, "")); err != nil {
-				return err
-			}
-			head := http2Head(p, resetHeadBytes)
-			for i := range uint32(resetStreams) {
-				if err := sendAll(w, http2Frame(frameHeaders, endHeaders, 2*i+1, head)); err != nil {
-					return err
-				}
-			}
-			return nil
-		}},
+		{name: "http2-heads", send: func(w io.Writer, p port, _ int) error { return sendHeads(w, p, resetHeadBytes) }},
+		{name: "http2-peer-heads", send: func(w io.Writer, p port, _ int) error { return sendHeads(w, p, peerHeadBytes) }},
 		{name: "chunk-extensions", send: func(w io.Writer, p port, _ int) error {
 			if err := sendAll(w, chunked(p), "1;"); err != nil {
 				return err
@@ -179,6 +185,14 @@
 	s.process.logMu.Unlock()
 	runCrowd(t, s, func(ports []port, size int) func() {
 		leave := stand(ports, size)
+		answered := 0
+		for range ordinaryRequests {
+			if s.ordinary() {
+				answered++
+			}
+			time.Sleep(ordinaryInterval)
+		}
+		t.Logf("%d of %d ordinary requests answered while the crowd stands", answered, ordinaryRequests)
 		eventually(t, s.process, s.ordinary, "no ordinary request is answered while the crowd stands")
 		return leave
 	})
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -128,6 +129,10 @@
 		c.awaitWrite()
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && !c.head.begun && bytes.HasPrefix(p[:n], http2Preface) && c.reserveHTTP2(context.Background()) != nil {
+		c.guard.evict(c, BodyNoRoom)
+		return 0, errNoRoom
+	}
 	if n > 0 && c.serving.Load() == 0 && c.head.add(p[:n]) > *c.guard.settings.MaxHeaderFields {
 		c.guard.evict(c, TooManyFields)
 		return 0, errTooManyFields
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -21,7 +21,13 @@
 	h2Buffer = 256 << 10
 	// maxStreams is the largest number of concurrent requests of an HTTP/2 connection. Go's
 	// clients open another connection beyond it.
-	maxStreams = 128
+	maxStreams = 32
+	// peerHeadBytes is the largest header section of a request between processes of the
+	// system, which have few fields.
+	peerHeadBytes = 8 << 10
+	// h2ConnBytes is the room that an HTTP/2 connection takes: what its client may send before
+	// a handler reads it, and the heads of its requests.
+	h2ConnBytes = h2Buffer + maxStreams*peerHeadBytes
 	// h2FrameBytes is the smallest limit that the protocol allows; the server keeps a buffer
 	// of this size for each connection.
 	h2FrameBytes = 16 << 10
@@ -36,6 +42,8 @@
 	MaxBody int64
 	// PlainHTTP2 is set if clients use HTTP/2 without TLS.
 	PlainHTTP2 bool
+	// Peers is set if only processes of the system are clients, whose heads are small.
+	Peers bool
 	// Streams is set if processes of the system open streams, which may be silent for long,
 	// and send snapshots.
 	Streams bool
@@ -69,9 +77,13 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(p.PlainHTTP2 && !useTLS)
+	maxHead := *g.settings.MaxHeaderBytes
+	if p.Peers {
+		maxHead = min(maxHead, peerHeadBytes)
+	}
 	return &http.Server{
 		Handler: &handler{guard: g, port: p, number: number}, Protocols: protocols,
-		MaxHeaderBytes: *g.settings.MaxHeaderBytes, ReadHeaderTimeout: *g.settings.HeaderTimeout, IdleTimeout: *g.settings.IdleTimeout,
+		MaxHeaderBytes: maxHead, ReadHeaderTimeout: *g.settings.HeaderTimeout, IdleTimeout: *g.settings.IdleTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: h2FrameBytes,
 			MaxReceiveBufferPerConnection: h2Buffer, MaxReceiveBufferPerStream: h2Buffer,
@@ -168,11 +180,11 @@
 	http.Error(w, refusal.Error(), refusal.Status())
 }
 
-// reserveHTTP2 takes room for the buffers of an HTTP/2 connection, once for its first
-// request.
+// reserveHTTP2 takes room for an HTTP/2 connection, once: before its first frame is read, or
+// for its first request if TLS hides the frames.
 func (c *conn) reserveHTTP2(ctx context.Context) error {
 	c.h2Once.Do(func() {
-		r := budget.Request{Bytes: h2Buffer, Small: true}
+		r := budget.Request{Bytes: h2ConnBytes, Port: c.port, Conn: true}
 		if c.errH2 = c.guard.reserve(ctx, &r); c.errH2 != nil {
 			return
 		}
--- a/internal/role/cell.go
+++ b/internal/role/cell.go
@@ -79,7 +79,7 @@
 	group, serving := errgroup.WithContext(serving)
 	listeners := []listenerSpec{
 		{s.Executors, intake.Port{Handler: executors, MaxBody: int64(*s.MaxBodyBytes)}},
-		{s.Peer, intake.Port{Handler: host.Handler(), MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Streams: true}},
+		{s.Peer, intake.Port{Handler: host.Handler(), MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Streams: true, Peers: true}},
 	}
 	if *s.Metrics != "" {
 		listeners = append(listeners, listenerSpec{settings.PlainListener(*s.Metrics), opsPort(registry, func() error { return nil })})
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -82,7 +82,7 @@
 	group, serving := errgroup.WithContext(serving)
 	listeners := []listenerSpec{
 		{s.API, intake.Port{Handler: operators, MaxBody: int64(*s.MaxBodyBytes), PlainHTTP2: true}},
-		{s.Peer, intake.Port{Handler: peers, MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Streams: true}},
+		{s.Peer, intake.Port{Handler: peers, MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Streams: true, Peers: true}},
 	}
 	if err := listenAll(group, serving, guard, listeners); err != nil {
 		return err
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	peerServer, err := process.Listen(s.Peer, guard, intake.Port{Handler: host.PeerHandler(), MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true})
+	peerServer, err := process.Listen(s.Peer, guard, intake.Port{Handler: host.PeerHandler(), MaxBody: s.Intake.PeerBodyBytes(*s.MemoryMB), PlainHTTP2: true, Peers: true})
 	if err != nil {
 		return err
 	}
--- a/internal/role/jobentry.go
+++ b/internal/role/jobentry.go
@@ -42,7 +42,7 @@
 	maxBody := int64(*s.MaxBodyBytes)
 	listeners := []listenerSpec{
 		{s.Callers, intake.Port{Handler: handler(client), MaxBody: maxBody}},
-		{s.Peer, intake.Port{Handler: client.RelayHandler(), MaxBody: maxBody + relayHeadBytes, PlainHTTP2: true}},
+		{s.Peer, intake.Port{Handler: client.RelayHandler(), MaxBody: maxBody + relayHeadBytes, PlainHTTP2: true, Peers: true}},
 		{settings.PlainListener(*s.Ready), opsPort(registry, readiness.check)},
 	}
 	if *s.Metrics != "" {
